--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that connect the fleet's ports to the world, by well-known libraries."""
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 by h11 on curio sockets."""
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
@@ -0,0 +1,150 @@
+"""The client's side of one HTTP/1.1 connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Union
+
+import h11
+
+from bramleyglade_adapters.http.wire import (
+    MAX_HEAD_BYTES,
+    RECEIVE_BYTES,
+    connect,
+    headers_from_wire,
+    headers_to_wire,
+    is_readable_now,
+)
+from bramleyglade_core.model.errors import ErrorCode, FleetError
+from bramleyglade_core.model.exchange import (
+    AnswerContinued,
+    AnswerEnded,
+    AnswerStarted,
+)
+from bramleyglade_core.model.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from curio.io import Socket
+
+    from bramleyglade_core.model.exchange import Header
+    from bramleyglade_core.model.identifiers import Address
+
+AnswerPart = Union[AnswerStarted, AnswerContinued, AnswerEnded]
+
+
+class AnswerBroken(FleetError):
+    """The answer is malformed, or ended before it was whole."""
+
+
+class ClientConnection:
+    """Sends requests and reads answers, one exchange after another."""
+
+    def __init__(self, sock: Socket) -> None:
+        self._sock = sock
+        self._protocol = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    @classmethod
+    async def open(cls, address: Address, timeout_seconds: float) -> ClientConnection:
+        """Connect.
+
+        Raises:
+            OSError: If the other side can't be reached.
+            curio.TaskTimeout: If it does not answer in time.
+        """
+        return cls(await connect(address, timeout_seconds))
+
+    async def send_head(
+        self, method: str, target: str, headers: Iterable[Header], has_body: bool
+    ) -> None:
+        """Send the head of a request; without a body, the whole request.
+
+        Raises:
+            OSError: If the connection breaks.
+        """
+        request = h11.Request(
+            method=method.encode("ascii"),
+            target=target.encode("ascii"),
+            headers=headers_to_wire(headers),
+        )
+        data = self._protocol.send(request) or b""
+        if not has_body:
+            data += self._protocol.send(h11.EndOfMessage()) or b""
+        await self._sock.sendall(data)
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a piece of the request's body."""
+        await self._sock.sendall(self._protocol.send(h11.Data(data=data)) or b"")
+
+    async def end_body(self) -> None:
+        """Say that the request's body is whole."""
+        data = self._protocol.send(h11.EndOfMessage())
+        if data:
+            await self._sock.sendall(data)
+
+    async def receive(self) -> AnswerPart:
+        """Wait for the next part of the answer; 1xx answers are passed over.
+
+        Raises:
+            AnswerBroken: If the answer is malformed or breaks off.
+            OSError: If the connection breaks.
+        """
+        while True:
+            part = _part(await self._next_event())
+            if part is not None:
+                return part
+
+    def finish_exchange(self) -> bool:
+        """Make ready for another exchange.
+
+        Returns:
+            False if the connection must not be used again.
+        """
+        states = (self._protocol.our_state, self._protocol.their_state)
+        if states != (h11.DONE, h11.DONE):
+            return False
+        left_over, is_closed = self._protocol.trailing_data
+        if left_over or is_closed:
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    def is_fit(self) -> bool:
+        """Tell whether nothing has happened on the idle connection."""
+        return not is_readable_now(self._sock)
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await self._sock.close()
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                code = ErrorCode.ANSWER_MALFORMED
+                if self._protocol.trailing_data[1]:
+                    code = ErrorCode.ANSWER_TRUNCATED
+                raise AnswerBroken(code, str(error), Verdict.MAY_HAVE_RUN) from None
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(await self._sock.recv(RECEIVE_BYTES))
+
+
+def _part(event: object) -> AnswerPart | None:
+    if isinstance(event, h11.Response):
+        return AnswerStarted(event.status_code, headers_from_wire(event.headers))
+    if isinstance(event, h11.Data):
+        return AnswerContinued(bytes(event.data))
+    if isinstance(event, h11.EndOfMessage):
+        return AnswerEnded(headers_from_wire(event.headers))
+    if isinstance(event, h11.InformationalResponse):
+        if event.status_code != 101:
+            return None
+    raise AnswerBroken(
+        ErrorCode.ANSWER_TRUNCATED,
+        f"{type(event).__name__} instead of an answer",
+        Verdict.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -0,0 +1,183 @@
+"""The server's side of one HTTP/1.1 connection."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import h11
+
+from bramleyglade_adapters.http.wire import (
+    MAX_HEAD_BYTES,
+    RECEIVE_BYTES,
+    headers_from_wire,
+    headers_to_wire,
+)
+from bramleyglade_core.model.errors import BadRequest, ErrorCode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from curio.io import Socket
+
+    from bramleyglade_core.model.exchange import Header
+
+_FLUSH_BYTES = 262_144
+"""Buffered bytes that are written without waiting for more."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Request line and headers of one request."""
+
+    method: str
+    target: str
+    """The request target as it was sent."""
+    headers: tuple[Header, ...]
+    has_body: bool
+
+    def header(self, name: str) -> str:
+        """Return the value of the first header of a name, or an empty string."""
+        return next((h.value for h in self.headers if h.name == name), "")
+
+
+class ServerConnection:
+    """Reads requests and writes answers; writes are joined until a flush."""
+
+    def __init__(self, sock: Socket) -> None:
+        self.sock = sock
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._out = bytearray()
+        self._is_broken = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether bytes of the next request have arrived."""
+        return bool(self._protocol.trailing_data[0])
+
+    @property
+    def wants_continue(self) -> bool:
+        """Whether the caller waits for a `100 Continue` before it sends its body."""
+        return self._protocol.they_are_waiting_for_100_continue
+
+    @property
+    def can_answer(self) -> bool:
+        """Whether no part of an answer has been written for this request."""
+        return self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may follow."""
+        if self._is_broken:
+            return False
+        states = (self._protocol.our_state, self._protocol.their_state)
+        return states == (h11.DONE, h11.DONE)
+
+    async def receive_request(self) -> RequestHead | None:
+        """Wait for the head of the next request.
+
+        Returns:
+            The head, or None if the caller has closed the connection.
+
+        Raises:
+            BadRequest: If the bytes are no HTTP request.
+        """
+        if self._protocol.our_state is h11.DONE:
+            self._protocol.start_next_cycle()
+        event = await self._next_event()
+        if not isinstance(event, h11.Request):
+            return None
+        headers = headers_from_wire(event.headers)
+        names = {header.name for header in headers}
+        if {"content-length", "transfer-encoding"} <= names:
+            raise BadRequest(ErrorCode.BAD_REQUEST, "two lengths for one body")
+        return RequestHead(
+            method=event.method.decode("ascii"),
+            target=event.target.decode("latin-1"),
+            headers=headers,
+            has_body=_has_body(headers),
+        )
+
+    async def receive_body(self) -> bytes | None:
+        """Wait for the next piece of the request's body.
+
+        Returns:
+            The piece, or None once the body is whole; trailers are dropped.
+
+        Raises:
+            BadRequest: If the body is malformed or breaks off.
+        """
+        if self._protocol.their_state is not h11.SEND_BODY:
+            return None
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise BadRequest(ErrorCode.BAD_REQUEST, "the request's body broke off")
+
+    async def send_continue(self) -> None:
+        """Tell the caller to send its body."""
+        self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        await self.flush()
+
+    def start_answer(self, status: int, headers: Iterable[Header]) -> None:
+        """Write the head of the answer to the buffer."""
+        wire = headers_to_wire(headers)
+        if 100 <= status < 200:
+            self._write(h11.InformationalResponse(status_code=status, headers=wire))
+        else:
+            self._write(h11.Response(status_code=status, headers=wire))
+
+    def continue_answer(self, data: bytes) -> None:
+        """Write a piece of the answer's body to the buffer."""
+        self._write(h11.Data(data=data))
+
+    def end_answer(self, trailers: Iterable[Header] = ()) -> None:
+        """Write the end of the answer to the buffer."""
+        self._write(h11.EndOfMessage(headers=headers_to_wire(trailers)))
+
+    @property
+    def must_flush(self) -> bool:
+        """Whether so much is buffered that it should go out now."""
+        return len(self._out) >= _FLUSH_BYTES
+
+    async def flush(self) -> None:
+        """Send all that is buffered, in one write."""
+        if not self._out:
+            return
+        data, self._out = self._out, bytearray()
+        self._is_broken = True  # Until the write is whole; a cancelled one is not.
+        await self.sock.sendall(data)
+        self._is_broken = False
+
+    def _write(self, event: h11.Event) -> None:
+        try:
+            data = self._protocol.send(event)
+        except h11.LocalProtocolError:
+            self._is_broken = True
+            raise
+        if data:
+            self._out += data
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                self._is_broken = True
+                raise BadRequest(ErrorCode.BAD_REQUEST, str(error)) from None
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(await self.sock.recv(RECEIVE_BYTES))
+
+
+def _has_body(headers: Iterable[Header]) -> bool:
+    for header in headers:
+        if header.name == "transfer-encoding":
+            return True
+        if header.name == "content-length":
+            return header.value.strip() != "0"
+    return False
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
@@ -0,0 +1,132 @@
+"""Whole requests and answers over one kept connection."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.http.client_connection import AnswerBroken, ClientConnection
+from bramleyglade_core.model.exchange import (
+    AnswerContinued,
+    AnswerStarted,
+    Header,
+)
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.identifiers import Address
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Status, headers and body of an answer."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Return the value of the first header of a name, or an empty string."""
+        return next((h.value for h in self.headers if h.name == name), "")
+
+
+class RequestNotSent(Exception):
+    """The request can't have reached the other side."""
+
+
+class AnswerLost(Exception):
+    """The request may have reached the other side, but no whole answer came."""
+
+
+class SimpleClient:
+    """Sends one request at a time to one address."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._connection: ClientConnection | None = None
+        self._lock = curio.Lock()
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: tuple[Header, ...] = (),
+        timeout_seconds: float = 5.0,
+    ) -> WholeAnswer:
+        """Send a request and wait for its whole answer.
+
+        Args:
+            method: HTTP method.
+            target: Path with query.
+            body: The whole body.
+            headers: Headers beside Host and Content-Length.
+            timeout_seconds: Longest wait for everything together.
+
+        Returns:
+            The answer.
+
+        Raises:
+            RequestNotSent: If no byte of the request went out.
+            AnswerLost: If the connection broke or time ran out afterwards.
+        """
+        async with self._lock:
+            connection = await self._take_connection(timeout_seconds)
+            try:
+                async with curio.timeout_after(timeout_seconds):
+                    answer = await self._exchange(
+                        connection, method, target, body, headers
+                    )
+            except (OSError, AnswerBroken, curio.TaskTimeout) as error:
+                await connection.close()
+                raise AnswerLost(str(error) or type(error).__name__) from None
+            except curio.CancelledError:
+                await connection.close()
+                raise
+            if connection.finish_exchange():
+                self._connection = connection
+            else:
+                await connection.close()
+            return answer
+
+    async def close(self) -> None:
+        """Close the kept connection."""
+        if self._connection is not None:
+            await self._connection.close()
+            self._connection = None
+
+    async def _take_connection(self, timeout_seconds: float) -> ClientConnection:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            if connection.is_fit():
+                return connection
+            await connection.close()
+        try:
+            return await ClientConnection.open(self._address, timeout_seconds)
+        except (OSError, curio.TaskTimeout) as error:
+            raise RequestNotSent(str(error) or type(error).__name__) from None
+
+    async def _exchange(
+        self,
+        connection: ClientConnection,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: tuple[Header, ...],
+    ) -> WholeAnswer:
+        head = (
+            Header("host", str(self._address)),
+            Header("content-length", str(len(body))),
+            *headers,
+        )
+        await connection.send_head(method, target, head, has_body=bool(body))
+        if body:
+            await connection.send_body(body)
+            await connection.end_body()
+        started = await connection.receive()
+        assert isinstance(started, AnswerStarted)
+        pieces = []
+        while isinstance(part := await connection.receive(), AnswerContinued):
+            pieces.append(part.data)
+        return WholeAnswer(started.status, started.headers, b"".join(pieces))
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/link/__init__.py
@@ -0,0 +1,1 @@
+"""Links between daemons: Cap'n Proto messages over TCP."""
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -0,0 +1,186 @@
+@0xb4c3a1d7e95f2068;
+# Messages between daemons. Fields are only ever added, so that daemons of two
+# versions understand each other during a rolling upgrade.
+
+struct Envelope {
+  stream @0 :UInt64;
+  isAnswer @1 :Bool;
+  union {
+    helloSaid @2 :HelloSaid;
+    heartbeatSent @3 :HeartbeatSent;
+    heartbeatAnswered @4 :HeartbeatAnswered;
+    batchAsked @5 :BatchAsked;
+    batchTold @6 :BatchTold;
+    recordsAsked @7 :RecordsAsked;
+    recordsTold @8 :RecordsTold;
+    sightAsked @9 :SightAsked;
+    sightTold @10 :SightTold;
+    lookAsked @11 :LookAsked;
+    lookTold @12 :LookTold;
+    suspicionTold @13 :SuspicionTold;
+    shareAsked @14 :ShareAsked;
+    shareGranted @15 :ShareGranted;
+    ejectionAsked @16 :EjectionAsked;
+    ejectionTold @17 :EjectionTold;
+    bookHandedOver @18 :BookHandedOver;
+    acknowledged @19 :Acknowledged;
+    attemptOffered @20 :AttemptOffered;
+    outcomeAsked @21 :OutcomeAsked;
+    bodySent @22 :BodySent;
+    bodyEnded @23 :BodyEnded;
+    creditGranted @24 :CreditGranted;
+    attemptCancelled @25 :AttemptCancelled;
+    answerStarted @26 :AnswerStarted;
+    answerContinued @27 :AnswerContinued;
+    answerEnded @28 :AnswerEnded;
+    attemptFailed @29 :AttemptFailed;
+  }
+}
+
+struct DaemonId { name @0 :Text; incarnation @1 :UInt64; }
+struct AttemptId { front @0 :DaemonId; request @1 :UInt64; attempt @2 :UInt32; }
+struct TargetId { daemon @0 :Text; name @1 :Text; }
+struct Address { host @0 :Text; port @1 :UInt16; }
+
+struct TargetAnnouncement {
+  name @0 :Text;
+  service @1 :Text;
+  address @2 :Address;
+  slots @3 :UInt32;
+  connections @4 :UInt32;
+  instance @5 :Text;
+  isDraining @6 :Bool;
+}
+
+struct MemberRecord {
+  daemon @0 :DaemonId;
+  sequence @1 :UInt64;
+  address @2 :Address;
+  zone @3 :Text;
+  phase @4 :Text;
+  targets @5 :List(TargetAnnouncement);
+}
+
+struct HelloSaid { version @0 :UInt32; daemon @1 :DaemonId; record @2 :MemberRecord; }
+struct HeartbeatSent { revision @0 :UInt64; membersDigest @1 :UInt64; }
+
+struct HeartbeatAnswered {
+  revision @0 :UInt64;
+  membersDigest @1 :UInt64;
+  evidenceAge @2 :Float64;
+  evidenceRevision @3 :UInt64;
+  views @4 :List(TargetViewTold);
+}
+
+struct TargetViewTold {
+  name @0 :Text;
+  service @1 :Text;
+  limit @2 :UInt32;
+  busy @3 :UInt32;
+  isEjected @4 :Bool;
+  isTrial @5 :Bool;
+  logLatency @6 :Float64;
+}
+
+struct BatchAsked { after @0 :UInt64; }
+
+struct BatchTold {
+  after @0 :UInt64;
+  upTo @1 :UInt64;
+  states @2 :Data;
+  assignments @3 :Data;
+}
+
+struct RecordsAsked {}
+struct RecordsTold { records @0 :List(MemberRecord); }
+struct SightAsked {}
+struct SightTold { isAway @0 :Bool; reachedForSeconds @1 :Float64; }
+struct LookAsked { name @0 :Text; }
+struct LookTold { name @0 :Text; isLive @1 :Bool; }
+struct SuspicionTold { daemon @0 :DaemonId; }
+
+struct ShareAsked {
+  team @0 :Text;
+  holder @1 :DaemonId;
+  sequence @2 :UInt64;
+  heldUnits @3 :UInt32;
+  heldTokens @4 :UInt32;
+  returnedLevel @5 :Float64;
+  demand @6 :Float64;
+  wantedTokens @7 :UInt32;
+}
+
+struct ShareGranted {
+  team @0 :Text;
+  sequence @1 :UInt64;
+  isKnown @2 :Bool;
+  bookedUnits @3 :UInt32;
+  addedUnits @4 :UInt32;
+  addedLevel @5 :Float64;
+  addedTokens @6 :UInt32;
+  targetUnits @7 :UInt32;
+  retryAfter @8 :Float64;
+}
+
+struct HeldShare {
+  team @0 :Text;
+  holder @1 :DaemonId;
+  units @2 :UInt32;
+  tokens @3 :UInt32;
+  sequence @4 :UInt64;
+}
+
+struct BookHandedOver {
+  shard @0 :UInt32;
+  epoch @1 :UInt64;
+  lines @2 :List(HeldShare);
+}
+
+struct EjectionAsked {
+  service @0 :Text;
+  target @1 :TargetId;
+  guard @2 :DaemonId;
+  sequence @3 :UInt64;
+  slots @4 :UInt32;
+  isWanted @5 :Bool;
+  isHeld @6 :Bool;
+}
+
+struct EjectionTold {
+  service @0 :Text;
+  target @1 :TargetId;
+  sequence @2 :UInt64;
+  isGranted @3 :Bool;
+}
+
+struct Acknowledged {}
+
+struct AttemptOffered {
+  attempt @0 :AttemptId;
+  target @1 :Text;
+  service @2 :Text;
+  team @3 :Text;
+  method @4 :Text;
+  path @5 :Text;
+  headers @6 :Text;  # Lines of name:value, as in HTTP.
+  deadlineSeconds @7 :Float64;
+  isIdempotent @8 :Bool;
+  hasBody @9 :Bool;
+  traceparent @10 :Text;
+}
+
+struct OutcomeAsked { offered @0 :AttemptOffered; }
+struct BodySent { data @0 :Data; }
+struct BodyEnded {}
+struct CreditGranted { size @0 :UInt32; }
+struct AttemptCancelled {}
+struct AnswerStarted { status @0 :UInt16; headers @1 :Text; }
+struct AnswerContinued { data @0 :Data; }
+struct AnswerEnded { trailers @0 :Text; }
+
+struct AttemptFailed {
+  code @0 :Text;
+  detail @1 :Text;
+  verdict @2 :Text;
+  retryAfter @3 :Float64;
+}
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object store over HTTP and JSON."""
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/store/http_store.py
@@ -0,0 +1,142 @@
+"""The object store over HTTP and JSON; thin, as the real protocol may differ.
+
+`GET /v1/objects/KEY`, `PUT` with `if-none-match: *` or `if-match: REVISION`,
+`GET /v1/list?prefix=&after=` and `GET /v1/watch?prefix=&after=&wait_ms=`.
+Values travel in base64; every answer carries the store's revision.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote, urlencode
+
+from bramleyglade_adapters.http.simple_client import (
+    AnswerLost,
+    RequestNotSent,
+    SimpleClient,
+    WholeAnswer,
+)
+from bramleyglade_core.model.errors import (
+    ErrorCode,
+    StoreAnswerLost,
+    StoreError,
+    StoreUnavailable,
+    VersionConflict,
+)
+from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.ports.store import Listing, StoredObject
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.identifiers import Address
+
+_MILLISECONDS_PER_SECOND = 1000.0
+_CALL_TIMEOUT_SECONDS = 2.0
+_WATCH_GRACE_SECONDS = 1.5
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 412
+
+
+class HttpStore:
+    """Implements the `ObjectStore` port."""
+
+    def __init__(self, address: Address) -> None:
+        self._client = SimpleClient(address)
+        self._watcher = SimpleClient(address)
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Read one object; None if there is none."""
+        answer = await self._read(self._client, f"/v1/objects/{quote(key)}")
+        if answer.status == _NOT_FOUND:
+            return None
+        return _object(_body(answer))
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Create an object and return the revision."""
+        return await self._write(key, value, Header("if-none-match", "*"))
+
+    async def update(self, key: str, value: bytes, revision: int) -> int:
+        """Replace an object that still has this revision."""
+        return await self._write(key, value, Header("if-match", str(revision)))
+
+    async def list_changed(self, prefix: str, after: int) -> Listing:
+        """List the objects under a prefix that changed after a revision."""
+        query = urlencode({"prefix": prefix, "after": after})
+        return _listing(await self._read(self._client, f"/v1/list?{query}"))
+
+    async def watch(self, prefix: str, after: int, wait_seconds: float) -> Listing:
+        """Wait for changes after a revision; the listing may be empty."""
+        wait = int(wait_seconds * _MILLISECONDS_PER_SECOND)
+        query = urlencode({"prefix": prefix, "after": after, "wait_ms": wait})
+        timeout = wait_seconds + _WATCH_GRACE_SECONDS
+        answer = await self._read(self._watcher, f"/v1/watch?{query}", timeout)
+        return _listing(answer)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+        await self._watcher.close()
+
+    async def _read(
+        self,
+        client: SimpleClient,
+        target: str,
+        timeout_seconds: float = _CALL_TIMEOUT_SECONDS,
+    ) -> WholeAnswer:
+        try:
+            answer = await client.request(
+                "GET", target, timeout_seconds=timeout_seconds
+            )
+        except (RequestNotSent, AnswerLost) as error:
+            raise StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, str(error)) from None
+        if answer.status not in (_OK, _NOT_FOUND):
+            raise _refused(answer)
+        return answer
+
+    async def _write(self, key: str, value: bytes, condition: Header) -> int:
+        body = json.dumps({"value": base64.b64encode(value).decode()}).encode()
+        try:
+            answer = await self._client.request(
+                "PUT",
+                f"/v1/objects/{quote(key)}",
+                body,
+                headers=(condition,),
+                timeout_seconds=_CALL_TIMEOUT_SECONDS,
+            )
+        except RequestNotSent as error:
+            raise StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, str(error)) from None
+        except AnswerLost as error:
+            raise StoreAnswerLost(ErrorCode.STORE_ANSWER_LOST, str(error)) from None
+        if answer.status == _CONFLICT:
+            raise VersionConflict(ErrorCode.VERSION_CONFLICT, f"{key} has changed")
+        if answer.status != _OK:
+            raise _refused(answer)
+        return int(_body(answer)["revision"])
+
+
+def _refused(answer: WholeAnswer) -> StoreError:
+    detail = f"the store answered {answer.status}"
+    return StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, detail)
+
+
+def _body(answer: WholeAnswer) -> dict[str, Any]:
+    try:
+        body = json.loads(answer.body)
+    except ValueError:
+        body = None
+    if not isinstance(body, dict):
+        raise StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, "no JSON from the store")
+    return body
+
+
+def _object(plain: dict[str, Any]) -> StoredObject:
+    value = base64.b64decode(plain["value"])
+    return StoredObject(plain["key"], value, int(plain["revision"]))
+
+
+def _listing(answer: WholeAnswer) -> Listing:
+    plain = _body(answer)
+    objects = tuple(_object(entry) for entry in plain["objects"])
+    return Listing(objects, int(plain["revision"]))
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
@@ -0,0 +1,111 @@
+"""How tickets, keepers and members are laid out in the store.
+
+`shared/tickets/NUMBER` and `shared/keepers/SHARD` are what every daemon holds
+as of one revision; `members/NAME` are the daemons' own announcements.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from bramleyglade_adapters.structure import from_json, to_json
+from bramleyglade_core.decisions.shared_view import SharedBatch
+from bramleyglade_core.model.announcements import KeeperAssignment, MemberRecord
+from bramleyglade_core.model.errors import BadInput, ErrorCode
+from bramleyglade_core.model.tickets import EntityState, Ticket
+
+if TYPE_CHECKING:
+    from bramleyglade_core.ports.store import Listing, StoredObject
+
+SHARED_PREFIX = "shared/"
+TICKET_PREFIX = "shared/tickets/"
+KEEPER_PREFIX = "shared/keepers/"
+MEMBER_PREFIX = "members/"
+
+_LOG = logging.getLogger(__name__)
+
+
+def ticket_key(number: int) -> str:
+    """Return the key of a ticket; numbers sort as text."""
+    return f"{TICKET_PREFIX}{number:012d}"
+
+
+def keeper_key(shard: int) -> str:
+    """Return the key of a shard's assignment."""
+    return f"{KEEPER_PREFIX}{shard}"
+
+
+def member_key(name: str) -> str:
+    """Return the key of a daemon's announcement."""
+    return f"{MEMBER_PREFIX}{name}"
+
+
+def read_ticket(stored: StoredObject) -> Ticket:
+    """Decode a ticket of the store."""
+    return from_json(Ticket, stored.value, ErrorCode.BAD_TICKET)
+
+
+def read_batch(listing: Listing, after: int) -> SharedBatch:
+    """Decode what changed under the shared prefix.
+
+    An object that can't be decoded is logged and left out, so that one bad
+    write does not stop all later changes.
+
+    Args:
+        listing: Objects that changed after a revision.
+        after: That revision.
+
+    Returns:
+        The changes, up to the listing's revision.
+    """
+    states: list[EntityState] = []
+    assignments: list[KeeperAssignment] = []
+    for stored in listing.objects:
+        try:
+            if stored.key.startswith(TICKET_PREFIX):
+                states += read_ticket(stored).states(stored.revision)
+            elif stored.key.startswith(KEEPER_PREFIX):
+                assignments.append(_read_assignment(stored))
+        except BadInput as error:
+            _LOG.error("ObjectUnreadable", extra={"key": stored.key, "why": str(error)})
+    return SharedBatch(after, listing.revision, tuple(states), tuple(assignments))
+
+
+def read_members(listing: Listing) -> list[MemberRecord]:
+    """Decode announcements; unreadable ones are logged and left out."""
+    records = []
+    for stored in listing.objects:
+        try:
+            code = ErrorCode.BAD_ANNOUNCEMENT
+            records.append(from_json(MemberRecord, stored.value, code))
+        except BadInput as error:
+            _LOG.error("ObjectUnreadable", extra={"key": stored.key, "why": str(error)})
+    return records
+
+
+def _read_assignment(stored: StoredObject) -> KeeperAssignment:
+    assignment = from_json(KeeperAssignment, stored.value, ErrorCode.BAD_PEER_MESSAGE)
+    return replace(assignment, revision=stored.revision)
+
+
+def states_to_bytes(states: tuple[EntityState, ...]) -> bytes:
+    """Encode states for a peer."""
+    return to_json(states)
+
+
+def states_from_bytes(data: bytes) -> tuple[EntityState, ...]:
+    """Decode states from a peer."""
+    return from_json(tuple[EntityState, ...], data, ErrorCode.BAD_PEER_MESSAGE)
+
+
+def assignments_to_bytes(assignments: tuple[KeeperAssignment, ...]) -> bytes:
+    """Encode assignments for a peer."""
+    return to_json(assignments)
+
+
+def assignments_from_bytes(data: bytes) -> tuple[KeeperAssignment, ...]:
+    """Decode assignments from a peer."""
+    code = ErrorCode.BAD_PEER_MESSAGE
+    return from_json(tuple[KeeperAssignment, ...], data, code)
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -0,0 +1,179 @@
+"""OpenTelemetry metrics, and traces with a span for each hop."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from functools import cached_property
+from typing import TYPE_CHECKING
+
+from opentelemetry import trace
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import (
+    ConsoleMetricExporter,
+    MetricExporter,
+    MetricReader,
+    PeriodicExportingMetricReader,
+)
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    ConsoleSpanExporter,
+    SpanExporter,
+)
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping
+
+    from opentelemetry.metrics import Counter, Histogram
+    from opentelemetry.trace import Span
+
+    from bramleyglade_core.model.settings import DaemonSettings
+
+_MILLISECONDS_PER_SECOND = 1000.0
+_SAMPLED_SUFFIX = "-01"
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """One hop of a request: a span, or nothing if it is not traced."""
+
+    traceparent: str
+    """Context to pass on, in the W3C form; may be empty."""
+    span: Span | None = None
+
+    def note(self, name: str, value: str | int | float) -> None:
+        """Set an attribute of the span."""
+        if self.span is not None:
+            self.span.set_attribute(name, value)
+
+    def end(self) -> None:
+        """End the hop."""
+        if self.span is not None:
+            self.span.end()
+
+
+class Telemetry:
+    """Metrics and traces of one process."""
+
+    def __init__(self, settings: DaemonSettings, random_source: random.Random) -> None:
+        self._settings = settings.telemetry
+        self._random = random_source
+        resource = Resource.create(
+            {"service.name": "bramleygladed", "service.instance.id": settings.name}
+        )
+        self._tracers = TracerProvider(resource=resource)
+        self._tracer = self._tracers.get_tracer("bramleyglade")
+        self._is_exporting = self._settings.exporter != "none"
+        self._meters = MeterProvider(self._metric_readers(), resource=resource)
+        self._meter = self._meters.get_meter("bramleyglade")
+        if self._is_exporting:
+            self._tracers.add_span_processor(BatchSpanProcessor(self._span_exporter()))
+
+    @cached_property
+    def requests(self) -> Counter:
+        """Requests answered at this front, by outcome code and verdict."""
+        return self._meter.create_counter("bramleyglade.requests")
+
+    @cached_property
+    def attempts(self) -> Counter:
+        """Attempts run at this guard, by service and outcome."""
+        return self._meter.create_counter("bramleyglade.attempts")
+
+    @cached_property
+    def events(self) -> Counter:
+        """Ejections, lease lapses, takeovers and the like, by name."""
+        return self._meter.create_counter("bramleyglade.events")
+
+    @cached_property
+    def _front_latency(self) -> Histogram:
+        return self._meter.create_histogram("bramleyglade.front.latency", unit="ms")
+
+    @cached_property
+    def _target_latency(self) -> Histogram:
+        return self._meter.create_histogram("bramleyglade.target.latency", unit="ms")
+
+    def note_request(self, code: str, verdict: str, seconds: float) -> None:
+        """Count a request that the front has answered."""
+        self.requests.add(1, {"code": code, "verdict": verdict})
+        self._front_latency.record(seconds * _MILLISECONDS_PER_SECOND)
+
+    def note_attempt(self, service: str, code: str, seconds: float) -> None:
+        """Count an exchange with a target."""
+        self.attempts.add(1, {"service": service, "code": code})
+        attributes = {"service": service}
+        self._target_latency.record(seconds * _MILLISECONDS_PER_SECOND, attributes)
+
+    def note_event(self, name: str) -> None:
+        """Count something that operators may want to hear of."""
+        self.events.add(1, {"event": name})
+
+    def start_hop(self, name: str, traceparent: str, is_root: bool = False) -> Hop:
+        """Start a hop of a request.
+
+        Args:
+            name: Name of the hop.
+            traceparent: Context that came with the request; may be empty.
+            is_root: True where requests enter, so that some of those without
+                a context are traced.
+
+        Returns:
+            The hop, whose context is to be passed on.
+        """
+        if not self._is_exporting:
+            return Hop(traceparent)
+        if not traceparent and is_root:
+            if self._random.random() >= self._settings.trace_share:
+                return Hop("")
+        elif not traceparent.endswith(_SAMPLED_SUFFIX):
+            return Hop(traceparent)
+        context = _PROPAGATOR.extract({"traceparent": traceparent})
+        span = self._tracer.start_span(name, context)
+        carrier: dict[str, str] = {}
+        _PROPAGATOR.inject(carrier, trace.set_span_in_context(span))
+        return Hop(carrier["traceparent"], span)
+
+    def shut_down(self) -> None:
+        """Send what is left and stop."""
+        self._tracers.shutdown()
+        self._meters.shutdown()
+
+    def _metric_readers(self) -> list[MetricReader]:
+        if not self._is_exporting:
+            return []
+        exporter: MetricExporter = ConsoleMetricExporter(
+            out=sys.stderr, formatter=_one_line
+        )
+        if self._settings.exporter == "otlp":
+            from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+                OTLPMetricExporter,
+            )
+
+            exporter = OTLPMetricExporter(f"{self._settings.endpoint}/v1/metrics")
+        milliseconds = self._settings.period_seconds * _MILLISECONDS_PER_SECOND
+        return [PeriodicExportingMetricReader(exporter, milliseconds)]
+
+    def _span_exporter(self) -> SpanExporter:
+        if self._settings.exporter == "otlp":
+            from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+                OTLPSpanExporter,
+            )
+
+            return OTLPSpanExporter(f"{self._settings.endpoint}/v1/traces")
+        return ConsoleSpanExporter(out=sys.stderr, formatter=_one_line)
+
+
+def _one_line(value: object) -> str:
+    to_json = value.to_json  # type: ignore[attr-defined]
+    return to_json(indent=None) + "\n"
+
+
+def traceparent_of(headers: Mapping[str, str]) -> str:
+    """Return the trace context of a request's headers, or an empty string."""
+    text = headers.get("traceparent", "")
+    context = trace.get_current_span(_PROPAGATOR.extract({"traceparent": text}))
+    return text if context.get_span_context().is_valid else ""
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/configuration.py
@@ -0,0 +1,100 @@
+"""The merged configuration: of each entity, the state of the highest ticket."""
+
+from __future__ import annotations
+
+from functools import cached_property
+from typing import TYPE_CHECKING, TypeVar
+
+from bramleyglade_core.decisions.routing import Router
+from bramleyglade_core.model.entities import Route, Service, Team, Zone
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from bramleyglade_core.model.entities import EntityKey
+    from bramleyglade_core.model.tickets import EntityState
+
+AnyEntity = TypeVar("AnyEntity", Zone, Service, Route, Team)
+
+
+class Configuration:
+    """An immutable merge of entity states, with the indexes that requests need."""
+
+    def __init__(self, state_by_key: Mapping[EntityKey, EntityState]) -> None:
+        self.state_by_key = state_by_key
+        """State of each entity ever configured; removed ones as tombstones."""
+
+    def merged(self, states: Iterable[EntityState]) -> Configuration:
+        """Return the configuration with more states merged in.
+
+        The merge is commutative and idempotent: the highest ticket wins, in
+        whatever order and however often states arrive.
+
+        Args:
+            states: States of one or more whole tickets.
+
+        Returns:
+            A new configuration, or this one if nothing changes.
+        """
+        merged = dict(self.state_by_key)
+        is_changed = False
+        for state in states:
+            known = merged.get(state.key)
+            if known is not None and known.ticket >= state.ticket:
+                continue
+            merged[state.key] = state
+            is_changed = True
+        return Configuration(merged) if is_changed else self
+
+    def states_after(self, revision: int) -> tuple[EntityState, ...]:
+        """Return the states that tickets accepted after a revision have set."""
+        states = self.state_by_key.values()
+        return tuple(state for state in states if state.revision > revision)
+
+    @cached_property
+    def zone_by_name(self) -> dict[str, Zone]:
+        """Zones in force."""
+        return self._entities(Zone)
+
+    @cached_property
+    def service_by_name(self) -> dict[str, Service]:
+        """Services in force."""
+        return self._entities(Service)
+
+    @cached_property
+    def team_by_name(self) -> dict[str, Team]:
+        """Teams in force."""
+        return self._entities(Team)
+
+    @cached_property
+    def route_by_name(self) -> dict[str, Route]:
+        """Routes in force."""
+        return self._entities(Route)
+
+    @cached_property
+    def team_by_key_hash(self) -> dict[str, Team]:
+        """Team of each key in force, by the SHA-256 of the key."""
+        teams = self.team_by_name.values()
+        return {key: team for team in teams for key in team.key_hashes}
+
+    @cached_property
+    def router(self) -> Router:
+        """Index of the routes; of overlapping ones the higher ticket wins."""
+        states = sorted(self.state_by_key.values(), key=lambda s: -s.ticket)
+        return Router(s.entity for s in states if isinstance(s.entity, Route))
+
+    def is_zone_in_use(self, name: str) -> bool:
+        """Tell whether new work may go to a zone; unknown zones are in use."""
+        zone = self.zone_by_name.get(name)
+        return zone is None or zone.in_use
+
+    def _entities(self, kind: type[AnyEntity]) -> dict[str, AnyEntity]:
+        return {
+            state.entity.name: state.entity
+            for state in self.state_by_key.values()
+            if isinstance(state.entity, kind)
+        }
+
+
+EMPTY_CONFIGURATION = Configuration({})
+"""What a daemon knows before the first word of the store or of a peer."""
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -0,0 +1,146 @@
+"""The members of the fleet, their targets and who of them answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.decisions.ejection_book import ServiceCapacity
+from bramleyglade_core.model.announcements import DaemonPhase, TargetAnnouncement
+from bramleyglade_core.model.identifiers import TargetId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.model.announcements import MemberRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that a front may send work to."""
+
+    target: TargetId
+    zone: str
+    announcement: TargetAnnouncement
+
+
+class Directory:
+    """Member records, merged by the owner's own order, and suspicions.
+
+    The merge is commutative and idempotent, so records may come from the
+    store and from any peer, in any order.
+    """
+
+    def __init__(self) -> None:
+        self.record_by_name: dict[str, MemberRecord] = {}
+        self._suspected_by_name: dict[str, int] = {}
+        self._candidates_by_service: dict[str, list[Candidate]] | None = None
+
+    def merge(self, record: MemberRecord) -> bool:
+        """Take in a record.
+
+        Args:
+            record: A daemon's word about itself.
+
+        Returns:
+            True if it is news, to be passed on.
+        """
+        name = record.daemon.name
+        known = self.record_by_name.get(name)
+        if known is not None and known.order >= record.order:
+            return False
+        self.record_by_name[name] = record
+        if known is None or known.daemon.incarnation != record.daemon.incarnation:
+            self._suspected_by_name.pop(name, None)
+        self._candidates_by_service = None
+        return True
+
+    def suspect(self, name: str) -> bool:
+        """Note that a daemon's current incarnation does not answer.
+
+        Returns:
+            True if that is news.
+        """
+        record = self.record_by_name.get(name)
+        if record is None:
+            return False
+        if self._suspected_by_name.get(name) == record.daemon.incarnation:
+            return False
+        self._suspected_by_name[name] = record.daemon.incarnation
+        self._candidates_by_service = None
+        return True
+
+    def trust(self, name: str) -> None:
+        """Note that a daemon has answered."""
+        if self._suspected_by_name.pop(name, None) is not None:
+            self._candidates_by_service = None
+
+    def is_live(self, name: str) -> bool:
+        """Tell whether a daemon is in the fleet and answers somebody."""
+        record = self.record_by_name.get(name)
+        if record is None or record.phase is DaemonPhase.GONE:
+            return False
+        return name not in self._suspected_by_name
+
+    def live_names(self) -> list[str]:
+        """Return the daemons that are in the fleet and answer."""
+        return [name for name in self.record_by_name if self.is_live(name)]
+
+    def serving_names(self) -> list[str]:
+        """Return the live daemons that are not about to leave."""
+        records = self.record_by_name
+        return [
+            name
+            for name in self.live_names()
+            if records[name].phase is DaemonPhase.SERVING
+        ]
+
+    def member_names(self) -> list[str]:
+        """Return all members that have not left, suspected ones included."""
+        return [
+            name
+            for name, record in self.record_by_name.items()
+            if record.phase is not DaemonPhase.GONE
+        ]
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return the targets of a service on live, serving daemons.
+
+        Draining targets are left out; zones are not looked at.
+        """
+        if self._candidates_by_service is None:
+            self._candidates_by_service = self._index()
+        return self._candidates_by_service.get(service, [])
+
+    def capacity(self, service: str, configuration: Configuration) -> ServiceCapacity:
+        """Return the slots of a service in the zones in use."""
+        announced = live = 0
+        for record, target in self._targets(service):
+            if not configuration.is_zone_in_use(record.zone):
+                continue
+            announced += target.slots
+            if self.is_live(record.daemon.name):
+                live += target.slots
+        return ServiceCapacity(announced, live)
+
+    def _targets(
+        self, service: str
+    ) -> Iterable[tuple[MemberRecord, TargetAnnouncement]]:
+        for record in self.record_by_name.values():
+            if record.phase is not DaemonPhase.SERVING:
+                continue
+            for target in record.targets:
+                if target.service == service and not target.is_draining:
+                    yield record, target
+
+    def _index(self) -> dict[str, list[Candidate]]:
+        index: dict[str, list[Candidate]] = {}
+        for name in self.serving_names():
+            record = self.record_by_name[name]
+            for target in record.targets:
+                if target.is_draining:
+                    continue
+                candidate = Candidate(TargetId(name, target.name), record.zone, target)
+                index.setdefault(target.service, []).append(candidate)
+        return index
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/retry_budget.py
@@ -0,0 +1,48 @@
+"""The share of traffic that retries may add."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.model.verdict import Verdict
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.settings import FrontSettings
+
+_FULL_BUDGET = 20.0
+"""Retries that a quiet front has in hand."""
+
+
+class RetryBudget:
+    """Retries earned by first attempts, so that a brown-out is not multiplied."""
+
+    def __init__(self, settings: FrontSettings) -> None:
+        self._settings = settings
+        self._retries = _FULL_BUDGET
+
+    def note_first_attempt(self) -> None:
+        """Earn a part of a retry."""
+        self._retries = min(_FULL_BUDGET, self._retries + self._settings.retry_share)
+
+    def try_spend(self) -> bool:
+        """Spend one retry; False if there is none."""
+        if self._retries < 1.0:
+            return False
+        self._retries -= 1.0
+        return True
+
+
+def may_retry(verdict: Verdict, is_idempotent: bool, is_body_spent: bool) -> bool:
+    """Tell whether a failed attempt may be tried at another target.
+
+    Args:
+        verdict: What is known of the failed attempt.
+        is_idempotent: Whether the request may run twice.
+        is_body_spent: Whether body bytes were sent that can't be sent again.
+
+    Returns:
+        True if a second attempt can't make non-idempotent work run twice.
+    """
+    if is_body_spent:
+        return False
+    return is_idempotent or verdict is Verdict.NOT_RUN
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
@@ -0,0 +1,136 @@
+"""A daemon's role as keeper of one shard of teams and services."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.decisions.ejection_book import EjectionBook
+from bramleyglade_core.decisions.share_keeper import TeamBook
+from bramleyglade_core.model.shares import BookHandedOver, ShareGranted
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.announcements import KeeperAssignment
+    from bramleyglade_core.model.entities import Team
+    from bramleyglade_core.model.settings import DaemonSettings
+    from bramleyglade_core.model.shares import ShareAsked
+
+
+class KeeperPhase(Enum):
+    """How far a new keeper has got."""
+
+    WAITING = "waiting"
+    """The former keeper may still grant; nothing is confirmed or granted."""
+    COLLECTING = "collecting"
+    """The former keeper has stopped; held shares are confirmed, none granted."""
+    GRANTING = "granting"
+    """All that is out is in the books."""
+
+
+class ShardKeeper:
+    """The books of one shard and the waits after a takeover.
+
+    A new keeper waits until its predecessor's lease has lapsed, then until
+    every share has lapsed that nobody came to confirm. Each step needs a
+    majority of a sample to have reached the store all along: then no lease
+    and no share was extended on the word that the store is away.
+    """
+
+    def __init__(
+        self, assignment: KeeperAssignment, settings: DaemonSettings, now: float
+    ) -> None:
+        self.assignment = assignment
+        self._settings = settings
+        self._book_by_team: dict[str, TeamBook] = {}
+        self._ejections_by_service: dict[str, EjectionBook] = {}
+        self._is_first = assignment.epoch == 1
+        self.phase = KeeperPhase.GRANTING if self._is_first else KeeperPhase.WAITING
+        self._next_phase_from = now + self.lease_wait_seconds
+        self._granting_since = now
+
+    @property
+    def lease_wait_seconds(self) -> float:
+        """Time in which any other daemon's lease has lapsed, with a margin."""
+        lease = self._settings.lease
+        return lease.term_seconds + lease.margin_seconds
+
+    def needs_confirmation(self, now: float) -> bool:
+        """Tell whether a word of the sample would let the keeper go on."""
+        if self.phase is not KeeperPhase.GRANTING:
+            return now >= self._next_phase_from
+        return any(book.has_lapsed(now) for book in self._book_by_team.values())
+
+    def confirm(self, teams: dict[str, Team], asked_at: float) -> None:
+        """Go on, since a majority has reached the store all along.
+
+        Args:
+            teams: Teams as configured now, by name.
+            asked_at: Time from before the sample was asked, in seconds; each
+                member had reached the store for `lease_wait_seconds`.
+        """
+        if self.phase is KeeperPhase.GRANTING:
+            for name, book in self._book_by_team.items():
+                if name in teams:
+                    book.reclaim(teams[name], asked_at)
+            return
+        if asked_at < self._next_phase_from:
+            return
+        if self.phase is KeeperPhase.WAITING:
+            self.phase = KeeperPhase.COLLECTING
+            limits = self._settings.limits
+            margin = self._settings.lease.margin_seconds
+            self._next_phase_from = asked_at + limits.slice_term_seconds + margin
+            return
+        self._start_granting(asked_at)
+
+    def take_over_book(self, handed: BookHandedOver, now: float) -> None:
+        """Start from the book of a predecessor that has stopped granting."""
+        if handed.epoch != self.assignment.epoch:
+            return
+        if self.phase is not KeeperPhase.WAITING:
+            return
+        for line in handed.lines:
+            self._book(line.team, 0.0, now).register(line, now)
+        self._start_granting(now)
+
+    def hand_over(self, epoch: int) -> BookHandedOver:
+        """Return the books for a successor; the caller grants no more."""
+        lines = [
+            line
+            for team, book in self._book_by_team.items()
+            for line in book.lines(team)
+        ]
+        return BookHandedOver(self.assignment.shard, epoch, tuple(lines))
+
+    def answer(self, asked: ShareAsked, team: Team, now: float) -> ShareGranted | None:
+        """Answer a holder.
+
+        Args:
+            asked: The holder's ask.
+            team: The team as configured now.
+            now: Time of this process's clock, in seconds.
+
+        Returns:
+            The answer, or None for an ask that came twice or late.
+        """
+        if self.phase is KeeperPhase.WAITING:
+            return ShareGranted(asked.team, asked.sequence, False, retry_after=0.5)
+        level = float(team.burst) if self._is_first else 0.0
+        book = self._book(team.name, level, self._granting_since)
+        is_collecting = self.phase is KeeperPhase.COLLECTING
+        return book.answer(asked, team, now, is_collecting)
+
+    def ejections(self, service: str) -> EjectionBook:
+        """Return the book of a service's ejections."""
+        return self._ejections_by_service.setdefault(service, EjectionBook())
+
+    def _book(self, team: str, level: float, free_since: float) -> TeamBook:
+        book = self._book_by_team.get(team)
+        if book is None:
+            book = TeamBook(self._settings.limits, level, free_since)
+            self._book_by_team[team] = book
+        return book
+
+    def _start_granting(self, now: float) -> None:
+        self.phase = KeeperPhase.GRANTING
+        self._granting_since = now
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/share_holding.py
@@ -0,0 +1,192 @@
+"""A daemon's share of one team's rate and burst."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.model.shares import SHARE_UNITS, ShareAsked
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.entities import Team
+    from bramleyglade_core.model.identifiers import DaemonId
+    from bramleyglade_core.model.settings import LimitSettings
+    from bramleyglade_core.model.shares import ShareGranted
+
+_DEMAND_HALF_LIFE_SECONDS = 2.0
+"""Time in which an old arrival loses half its weight."""
+
+TOKEN_TERM_SECONDS = 1.0
+"""How long a single token is good, counted from before the asking."""
+
+
+class DemandMeter:
+    """An exponentially weighted rate of arrivals."""
+
+    def __init__(self) -> None:
+        self._weight = 0.0
+        self._updated_at = 0.0
+
+    def note(self, now: float) -> None:
+        """Note one arrival."""
+        self._decay(now)
+        self._weight += 1.0
+
+    def rate(self, now: float) -> float:
+        """Return the arrivals a second."""
+        self._decay(now)
+        return self._weight * math.log(2) / _DEMAND_HALF_LIFE_SECONDS
+
+    def _decay(self, now: float) -> None:
+        elapsed = max(0.0, now - self._updated_at)
+        self._weight *= 0.5 ** (elapsed / _DEMAND_HALF_LIFE_SECONDS)
+        self._updated_at = max(now, self._updated_at)
+
+
+class ShareHolding:
+    """Units, level and single tokens that this daemon may spend for a team.
+
+    A holding is good for a term from before the ask that confirmed it. Units
+    refill at their part of the rate, up to their part of the burst.
+    """
+
+    def __init__(self, holder: DaemonId, settings: LimitSettings) -> None:
+        self._holder = holder
+        self._settings = settings
+        self.units = 0
+        self.level = 0.0
+        self.term_end = float("-inf")
+        self.demand = DemandMeter()
+        self._refilled_at = float("-inf")
+        self._tokens = 0
+        self._tokens_end = float("-inf")
+        self._returned_level = 0.0
+        self._sequence = 0
+        self._asked_at: float | None = None
+        self.dry_until = float("-inf")
+        """The keeper said that asking again before this time is no use."""
+        self.next_ask_at = float("-inf")
+
+    @property
+    def is_asking(self) -> bool:
+        """Whether an answer of the keeper is awaited."""
+        return self._asked_at is not None
+
+    def try_admit(self, team: Team, now: float) -> bool:
+        """Spend one request of the share.
+
+        Args:
+            team: The team as configured now.
+            now: Time of this process's clock, in seconds.
+
+        Returns:
+            True if the request is within the share.
+        """
+        self._refill(team, now)
+        if self.level >= 1.0:
+            self.level -= 1.0
+            return True
+        if self._tokens >= 1 and now < self._tokens_end:
+            self._tokens -= 1
+            self.next_ask_at = now
+            return True
+        return False
+
+    def ask(self, team: Team, now: float, waiting: int) -> ShareAsked:
+        """State the holding, and from now on ignore answers to earlier asks.
+
+        Args:
+            team: The team as configured now.
+            now: Time of this process's clock, in seconds.
+            waiting: Requests that wait for a token.
+
+        Returns:
+            The message to the keeper.
+        """
+        self._refill(team, now)
+        if now >= self._tokens_end:
+            self._tokens = 0
+        self._sequence += 1
+        self._asked_at = now
+        self.next_ask_at = now + self._settings.renew_seconds
+        returned, self._returned_level = self._returned_level, 0.0
+        return ShareAsked(
+            team=team.name,
+            holder=self._holder,
+            sequence=self._sequence,
+            held_units=self.units,
+            held_tokens=self._tokens,
+            returned_level=returned,
+            demand=self.demand.rate(now),
+            wanted_tokens=waiting,
+        )
+
+    def credit(self, granted: ShareGranted, team: Team, now: float) -> bool:
+        """Take the keeper's answer, unless it is late or crossed.
+
+        Args:
+            granted: The answer.
+            team: The team as configured now.
+            now: Time of this process's clock, in seconds.
+
+        Returns:
+            True if units are to be returned, which another ask does at once.
+        """
+        if self._asked_at is None or granted.sequence != self._sequence:
+            return False
+        asked_at, self._asked_at = self._asked_at, None
+        self.dry_until = now + granted.retry_after
+        if not granted.is_known:
+            return False
+        self._refill(team, now)
+        self._reduce_to(granted.booked_units)
+        self.units += granted.added_units
+        self.level += granted.added_level
+        self.term_end = asked_at + self._settings.slice_term_seconds
+        self._tokens += granted.added_tokens
+        self._tokens_end = asked_at + TOKEN_TERM_SECONDS
+        return self._give_back(granted.target_units)
+
+    def give_up_ask(self) -> None:
+        """Stop waiting; a late answer will not be credited."""
+        self._asked_at = None
+        self._sequence += 1
+
+    def release(self) -> None:
+        """Return everything with the next ask, since this daemon leaves."""
+        self._give_back(0)
+
+    def extend(self, asked_at: float, until: float) -> None:
+        """Extend the term with the daemon's lease while the store is away.
+
+        Args:
+            asked_at: Time from before the sample was asked; a term that had
+                ended by then stays ended.
+            until: End of the extension.
+        """
+        if self.term_end > asked_at:
+            self.term_end = max(self.term_end, until)
+
+    def _refill(self, team: Team, now: float) -> None:
+        if now >= self.term_end:
+            self.units = 0
+            self.level = 0.0
+            return
+        share = self.units / SHARE_UNITS
+        elapsed = max(0.0, now - self._refilled_at)
+        self._refilled_at = max(now, self._refilled_at)
+        self.level = min(team.burst * share, self.level + team.rate * share * elapsed)
+
+    def _give_back(self, target_units: int) -> bool:
+        before = self.level
+        if not self._reduce_to(target_units):
+            return False
+        self._returned_level += before - self.level
+        return True
+
+    def _reduce_to(self, units: int) -> bool:
+        if units >= self.units:
+            return False
+        self.level *= units / self.units
+        self.units = units
+        return True
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/share_keeper.py
@@ -0,0 +1,235 @@
+"""The keeper of a team's rate and burst.
+
+The level of all buckets of a team together never exceeds its burst, and they
+refill together at no more than its rate, whatever is lost, late or repeated:
+a grant leaves the keeper's free part before the holder has it, and comes back
+only by the holder's statement or after its term.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.model.shares import SHARE_UNITS, HeldShare, ShareGranted
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bramleyglade_core.model.entities import Team
+    from bramleyglade_core.model.identifiers import DaemonId
+    from bramleyglade_core.model.settings import LimitSettings
+    from bramleyglade_core.model.shares import ShareAsked
+
+_DEMAND_TERM_FACTOR = 3.0
+"""Asks after which a silent holder's demand no longer counts."""
+
+_WORTHWHILE_CHANGE = 0.05
+"""Smallest move of units, as a share of the target."""
+
+
+@dataclass(frozen=True, slots=True)
+class _BookLine:
+    """What the keeper counts as held by one daemon."""
+
+    units: int
+    tokens: int
+    sequence: int
+    term_end: float
+    demand: float = 0.0
+    stated_at: float = float("-inf")
+
+
+class TeamBook:
+    """The keeper's book for one team."""
+
+    def __init__(
+        self, settings: LimitSettings, level: float, free_since: float
+    ) -> None:
+        """Open the book.
+
+        Args:
+            settings: Terms of the grants.
+            level: Requests in the bucket: the whole burst if nobody can have
+                been granted anything, else 0.
+            free_since: Time since which the bucket refills, in seconds.
+        """
+        self._settings = settings
+        self._line_by_holder: dict[DaemonId, _BookLine] = {}
+        self._level = level
+        self._refilled_at = free_since
+
+    def register(self, line: HeldShare, now: float) -> None:
+        """Enter a share that a former keeper granted."""
+        term_end = now + self._settings.slice_term_seconds
+        self._line_by_holder[line.holder] = _BookLine(
+            line.units, line.tokens, line.sequence, term_end
+        )
+
+    def lines(self, team: str) -> Iterable[HeldShare]:
+        """Yield the book for a successor."""
+        for holder, line in self._line_by_holder.items():
+            yield HeldShare(team, holder, line.units, line.tokens, line.sequence)
+
+    @property
+    def held_units(self) -> int:
+        """Units that daemons hold, or may hold."""
+        return sum(line.units for line in self._line_by_holder.values())
+
+    @property
+    def held_tokens(self) -> int:
+        """Single tokens that daemons hold, or may hold."""
+        return sum(line.tokens for line in self._line_by_holder.values())
+
+    def has_lapsed(self, now: float) -> bool:
+        """Tell whether a line is past its term and waits to be reclaimed."""
+        return any(line.term_end < now for line in self._line_by_holder.values())
+
+    def reclaim(self, team: Team, now: float) -> None:
+        """Take back what lapsed; only when no extension can be in force.
+
+        Args:
+            team: The team as configured now.
+            now: Time of this process's clock, in seconds.
+        """
+        self._refill(team, now)
+        lapsed = [
+            holder
+            for holder, line in self._line_by_holder.items()
+            if line.term_end < now
+        ]
+        for holder in lapsed:
+            del self._line_by_holder[holder]
+
+    def answer(
+        self, asked: ShareAsked, team: Team, now: float, is_collecting: bool
+    ) -> ShareGranted | None:
+        """Answer an ask.
+
+        Args:
+            asked: The holder's statement and needs.
+            team: The team as configured now.
+            now: Time of this process's clock, in seconds.
+            is_collecting: True while shares of a former keeper may be out that
+                this one has not heard of; they are entered and nothing is granted.
+
+        Returns:
+            The answer, or None for an ask that came twice or late.
+        """
+        known = self._line_by_holder.get(asked.holder)
+        if known is not None and asked.sequence <= known.sequence:
+            return None
+        self._refill(team, now)
+        booked = self._settle(asked, known, now, is_collecting)
+        if is_collecting:
+            return self._confirm(asked, booked)
+        self._level = min(self._cap(team), self._level + asked.returned_level)
+        return self._grant(asked, booked, team, now)
+
+    def _settle(
+        self,
+        asked: ShareAsked,
+        known: _BookLine | None,
+        now: float,
+        is_collecting: bool,
+    ) -> _BookLine:
+        is_new = known is None
+        booked_units = asked.held_units if is_new and is_collecting else 0
+        if known is not None:
+            booked_units = min(asked.held_units, known.units)
+        line = _BookLine(
+            units=booked_units,
+            tokens=asked.held_tokens,
+            sequence=asked.sequence,
+            term_end=now + self._settings.slice_term_seconds,
+            demand=asked.demand,
+            stated_at=now,
+        )
+        self._line_by_holder[asked.holder] = line
+        return line
+
+    def _confirm(self, asked: ShareAsked, line: _BookLine) -> ShareGranted:
+        return ShareGranted(
+            team=asked.team,
+            sequence=asked.sequence,
+            is_known=True,
+            booked_units=line.units,
+            target_units=line.units,
+            retry_after=self._settings.renew_seconds,
+        )
+
+    def _grant(
+        self, asked: ShareAsked, line: _BookLine, team: Team, now: float
+    ) -> ShareGranted:
+        target = self._target_units(line, team, now)
+        added_units, added_level = self._grant_units(line, target, team)
+        tokens = self._grant_tokens(asked, added_level)
+        self._line_by_holder[asked.holder] = replace(
+            line, units=line.units + added_units, tokens=line.tokens + tokens
+        )
+        is_served = added_level + tokens >= asked.wanted_tokens
+        return ShareGranted(
+            team=asked.team,
+            sequence=asked.sequence,
+            is_known=True,
+            booked_units=line.units,
+            added_units=added_units,
+            added_level=added_level,
+            added_tokens=tokens,
+            target_units=target,
+            retry_after=0.0 if is_served else self._seconds_to_token(team),
+        )
+
+    def _target_units(self, line: _BookLine, team: Team, now: float) -> int:
+        fresh = now - _DEMAND_TERM_FACTOR * self._settings.renew_seconds
+        total = sum(
+            other.demand
+            for other in self._line_by_holder.values()
+            if other.stated_at >= fresh
+        )
+        if total <= 0:
+            return line.units
+        spread = SHARE_UNITS * (1.0 - self._settings.keeper_reserve)
+        target = int(spread * line.demand / total)
+        if target * team.burst < SHARE_UNITS:
+            return 0
+        if abs(target - line.units) < _WORTHWHILE_CHANGE * target:
+            return line.units
+        return target
+
+    def _grant_units(
+        self, line: _BookLine, target: int, team: Team
+    ) -> tuple[int, float]:
+        free = SHARE_UNITS - self.held_units
+        added = min(max(0, target - line.units), max(0, free))
+        if added == 0:
+            return 0, 0.0
+        level = self._level * added / free
+        self._level -= level
+        self._level = min(self._level, team.burst * (free - added) / SHARE_UNITS)
+        return added, level
+
+    def _grant_tokens(self, asked: ShareAsked, added_level: float) -> int:
+        missing = asked.wanted_tokens - int(added_level)
+        tokens = max(0, min(missing, int(self._level)))
+        self._level -= tokens
+        return tokens
+
+    def _seconds_to_token(self, team: Team) -> float:
+        free = max(0, SHARE_UNITS - self.held_units)
+        rate = team.rate * free / SHARE_UNITS
+        if rate <= 0:
+            return self._settings.renew_seconds
+        wait = (1.0 - self._level) / rate
+        return min(self._settings.renew_seconds, max(0.0, wait))
+
+    def _cap(self, team: Team) -> float:
+        free = max(0, SHARE_UNITS - self.held_units)
+        return max(0.0, team.burst * free / SHARE_UNITS - self.held_tokens)
+
+    def _refill(self, team: Team, now: float) -> None:
+        free = max(0, SHARE_UNITS - self.held_units)
+        elapsed = max(0.0, now - self._refilled_at)
+        self._refilled_at = max(now, self._refilled_at)
+        grown = self._level + team.rate * free / SHARE_UNITS * elapsed
+        self._level = min(self._cap(team), grown)
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -0,0 +1,80 @@
+"""A daemon's copy of what the store holds for all daemons."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+
+if TYPE_CHECKING:
+    from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.model.announcements import KeeperAssignment
+    from bramleyglade_core.model.tickets import EntityState
+
+
+@dataclass(frozen=True, slots=True)
+class SharedBatch:
+    """All that changed in the store after one revision and up to another."""
+
+    after: int
+    up_to: int
+    states: tuple[EntityState, ...] = ()
+    assignments: tuple[KeeperAssignment, ...] = ()
+
+
+class SharedView:
+    """Configuration and keeper assignments as of one revision of the store."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        """All that the store accepted up to here is merged in."""
+        self.heard_revision = 0
+        """Highest revision that anybody has spoken of."""
+        self.configuration: Configuration = EMPTY_CONFIGURATION
+        self.assignment_by_shard: dict[int, KeeperAssignment] = {}
+
+    def apply(self, batch: SharedBatch) -> bool:
+        """Merge a batch; each ticket in it comes into force whole.
+
+        Args:
+            batch: Changes from the store or from a peer.
+
+        Returns:
+            False if the batch leaves a gap, and nothing was changed.
+        """
+        self.hear(batch.up_to)
+        if batch.after > self.revision:
+            return False
+        self.configuration = self.configuration.merged(batch.states)
+        for assignment in batch.assignments:
+            self._merge_assignment(assignment)
+        self.revision = max(self.revision, batch.up_to)
+        return True
+
+    def hear(self, revision: int) -> None:
+        """Note that the store has reached a revision."""
+        self.heard_revision = max(self.heard_revision, revision)
+
+    def is_current(self, revision: int) -> bool:
+        """Tell whether a word as of this revision is the newest known, and held.
+
+        An older word proves nothing: it may come from a store that answers
+        from an older version, or from a peer that lags.
+        """
+        return self.heard_revision <= revision <= self.revision
+
+    def batch_after(self, revision: int) -> SharedBatch:
+        """Return what a peer that holds a revision lacks."""
+        assignments = self.assignment_by_shard.values()
+        return SharedBatch(
+            after=revision,
+            up_to=self.revision,
+            states=self.configuration.states_after(revision),
+            assignments=tuple(a for a in assignments if a.revision > revision),
+        )
+
+    def _merge_assignment(self, assignment: KeeperAssignment) -> None:
+        known = self.assignment_by_shard.get(assignment.shard)
+        if known is None or known.revision < assignment.revision:
+            self.assignment_by_shard[assignment.shard] = assignment
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/ticket_check.py
@@ -0,0 +1,140 @@
+"""Whether a ticket may be applied, and what it would change."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.model.entities import (
+    Entity,
+    EntityKey,
+    Route,
+    Service,
+    Team,
+    Zone,
+    key_of,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.model.tickets import Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class TicketProblem:
+    """One reason why a ticket may not be applied."""
+
+    place: str
+    """Where in the ticket or in the configuration after it."""
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class EntityChange:
+    """What a ticket does to one entity."""
+
+    key: EntityKey
+    before: Entity | None
+    after: Entity | None
+
+
+def differences(configuration: Configuration, ticket: Ticket) -> list[EntityChange]:
+    """List what a ticket would change.
+
+    Args:
+        configuration: The configuration before.
+        ticket: The ticket.
+
+    Returns:
+        One change for each entity that would differ.
+    """
+    changes = []
+    for state in ticket.states():
+        known = configuration.state_by_key.get(state.key)
+        before = known.entity if known else None
+        if before != state.entity:
+            changes.append(EntityChange(state.key, before, state.entity))
+    return changes
+
+
+def problems(configuration: Configuration, ticket: Ticket) -> list[TicketProblem]:
+    """Check a ticket against the configuration that it would change.
+
+    Args:
+        configuration: The configuration before.
+        ticket: The ticket.
+
+    Returns:
+        All problems; empty if the ticket may be applied.
+    """
+    found = list(_superseded(configuration, ticket))
+    after = configuration.merged(ticket.states())
+    for key, state in after.state_by_key.items():
+        if state.entity is not None:
+            found += [TicketProblem(str(key), d) for d in _faults(state.entity, after)]
+    return found
+
+
+def _superseded(
+    configuration: Configuration, ticket: Ticket
+) -> Iterator[TicketProblem]:
+    for state in ticket.states():
+        known = configuration.state_by_key.get(state.key)
+        if known is not None and known.ticket > ticket.number:
+            yield TicketProblem(
+                str(state.key), f"set already by the later ticket {known.ticket}"
+            )
+
+
+@singledispatch
+def _faults(entity: object, after: Configuration) -> Iterator[str]:
+    """Yield what is wrong with an entity in the configuration around it."""
+    raise TypeError(f"no check for {type(entity).__name__}")
+
+
+@_faults.register
+def _(zone: Zone, after: Configuration) -> Iterator[str]:
+    yield from ()
+
+
+@_faults.register
+def _(service: Service, after: Configuration) -> Iterator[str]:
+    for name in service.zones:
+        if name not in after.zone_by_name:
+            yield f"zone {name!r} does not exist"
+    if not any(after.is_zone_in_use(name) for name in service.zones):
+        yield "none of the service's zones would be in use"
+
+
+@_faults.register
+def _(route: Route, after: Configuration) -> Iterator[str]:
+    if route.service not in after.service_by_name:
+        yield f"service {route.service!r} does not exist"
+    for name in route.teams:
+        if name not in after.team_by_name:
+            yield f"team {name!r} does not exist"
+    for other in after.route_by_name.values():
+        if other.name < route.name and _overlap(route, other):
+            yield f"takes the same requests as {key_of(other)}"
+
+
+@_faults.register
+def _(team: Team, after: Configuration) -> Iterator[str]:
+    for key_hash in team.key_hashes:
+        holder = after.team_by_key_hash.get(key_hash)
+        if holder is not None and holder.name != team.name:
+            yield f"has a key that is also a key of team {holder.name!r}"
+
+
+def _overlap(route: Route, other: Route) -> bool:
+    if route.path_prefix != other.path_prefix:
+        return False
+    if not route.methods or not other.methods:
+        return True
+    return bool(set(route.methods) & set(other.methods))
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/model/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data classes that every other part speaks in."""
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/model/errors.py
@@ -0,0 +1,111 @@
+"""Errors with codes, shared by every part of the fleet."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from bramleyglade_core.model.verdict import Verdict
+
+
+class ErrorCode(Enum):
+    """Stable codes that callers and scripts can match on."""
+
+    BAD_REQUEST = "bad-request"
+    AMBIGUOUS_PATH = "ambiguous-path"
+    RESERVED_HEADER = "reserved-header"
+    NO_ROUTE = "no-route"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+    KEY_MISSING = "key-missing"
+    KEY_UNKNOWN = "key-unknown"
+    KEY_NOT_ALLOWED = "key-not-allowed"
+    CONFIGURATION_STALE = "configuration-stale"
+    RATE_EXCEEDED = "rate-exceeded"
+    NO_TARGET = "no-target"
+    QUEUE_FULL = "queue-full"
+    DEADLINE_TOO_SHORT = "deadline-too-short"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    TARGET_DRAINING = "target-draining"
+    TARGET_EJECTED = "target-ejected"
+    TARGET_UNKNOWN = "target-unknown"
+    TARGET_FAILED = "target-failed"
+    TARGET_REFUSED = "target-refused"
+    ANSWER_TRUNCATED = "answer-truncated"
+    ANSWER_MALFORMED = "answer-malformed"
+    ZONE_OUT = "zone-out"
+    PEER_LOST = "peer-lost"
+    ATTEMPT_FENCED = "attempt-fenced"
+    ATTEMPT_CANCELLED = "attempt-cancelled"
+    DAEMON_FULL = "daemon-full"
+    DAEMON_STOPPING = "daemon-stopping"
+    BAD_SETTINGS = "bad-settings"
+    BAD_TICKET = "bad-ticket"
+    BAD_ANNOUNCEMENT = "bad-announcement"
+    BAD_PEER_MESSAGE = "bad-peer-message"
+    TICKET_CONFLICT = "ticket-conflict"
+    STORE_UNAVAILABLE = "store-unavailable"
+    STORE_ANSWER_LOST = "store-answer-lost"
+    VERSION_CONFLICT = "version-conflict"
+
+
+class FleetError(Exception):
+    """Base of all errors that the fleet raises.
+
+    Attributes:
+        code: Stable code of the error.
+        detail: One sentence for a person.
+        verdict: Whether the request concerned may have run.
+        retry_after: Seconds after which a retry is useful; None when unknown.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        detail: str,
+        verdict: Verdict = Verdict.NOT_RUN,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(f"{code.value}: {detail}")
+        self.code = code
+        self.detail = detail
+        self.verdict = verdict
+        self.retry_after = retry_after
+
+
+class BadRequest(FleetError):
+    """The caller's request can't be understood, or only in two ways."""
+
+
+class RouteRefused(FleetError):
+    """No route takes this method and path."""
+
+
+class KeyRefused(FleetError):
+    """The key is missing, unknown, withdrawn or not good for this route."""
+
+
+class RateExceeded(FleetError):
+    """The team has used up its rate and burst."""
+
+
+class AttemptRefused(FleetError):
+    """A guard or front gave up an attempt; the verdict says how far it got."""
+
+
+class StoreError(FleetError):
+    """The platform's object store did not do what was asked."""
+
+
+class StoreUnavailable(StoreError):
+    """The call did not reach the store, or the store is away."""
+
+
+class StoreAnswerLost(StoreError):
+    """The call may have taken effect; the caller has to read and compare."""
+
+
+class VersionConflict(StoreError):
+    """The object exists already or has another version than was asked for."""
+
+
+class BadInput(FleetError):
+    """Settings, a ticket, an announcement or a peer message is malformed."""
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/ports/__init__.py
@@ -0,0 +1,1 @@
+"""What the fleet needs from the outside, as protocols."""
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/ports/store.py
@@ -0,0 +1,55 @@
+"""The platform's object store, as the fleet needs it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """An object of the store."""
+
+    key: str
+    value: bytes
+    revision: int
+    """Revision of the whole store at which this object last changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Objects under a prefix, and the revision at which they were read."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+
+
+class ObjectStore(Protocol):
+    """Versions, conditional updates, lists and watches.
+
+    Every call may raise `StoreUnavailable`; calls that write may also raise
+    `StoreAnswerLost` when nobody knows whether they took effect.
+    """
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Read one object; None if there is none."""
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Create an object and return the revision.
+
+        Raises:
+            VersionConflict: If the key is taken.
+        """
+
+    async def update(self, key: str, value: bytes, revision: int) -> int:
+        """Replace an object that still has this revision.
+
+        Raises:
+            VersionConflict: If the object has changed since.
+        """
+
+    async def list_changed(self, prefix: str, after: int) -> Listing:
+        """List the objects under a prefix that changed after a revision."""
+
+    async def watch(self, prefix: str, after: int, wait_seconds: float) -> Listing:
+        """Wait for changes after a revision; the listing may be empty."""
