--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -14,13 +14,13 @@
     headers_to_wire,
 )
 from bramleyglade_core.model.errors import BadRequest, ErrorCode
+from bramleyglade_core.model.exchange import Header
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from curio.io import Socket
 
-    from bramleyglade_core.model.exchange import Header
 
 _FLUSH_BYTES = 262_144
 """Buffered bytes that are written without waiting for more."""
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -0,0 +1,281 @@
+"""One long-lived link between two daemons, with many streams interleaved."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from typing import TYPE_CHECKING, Any, Protocol
+
+import curio
+
+from bramleyglade_adapters.http.wire import RECEIVE_BYTES
+from bramleyglade_adapters.link.codec import (
+    LENGTH_BYTES,
+    Envelope,
+    decode,
+    encode,
+    length_of,
+)
+from bramleyglade_core.model.errors import BadInput, ErrorCode, FleetError
+from bramleyglade_core.model.peer_messages import LOWEST_PROTOCOL_VERSION, HelloSaid
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+MAX_UNSENT_BYTES = 16_777_216
+"""Bytes that wait to be sent, above which the link is given up."""
+
+_HELLO_SECONDS = 2.0
+"""Longest wait for the peer's first message."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class LinkLost(FleetError):
+    """The link is gone; what was under way on it has an unknown fate."""
+
+
+class Receiver(Protocol):
+    """One side's end of a stream."""
+
+    async def deliver(self, message: Any) -> None:
+        """Take in a message; never waits for long."""
+
+    async def lose(self) -> None:
+        """Take in that the link is gone."""
+
+
+class LinkHandler(Protocol):
+    """What a daemon does with messages that open a stream."""
+
+    async def handle(self, link: Link, stream: int, message: Any) -> None:
+        """Take in the first message of a stream; never waits for long."""
+
+
+class _Reply:
+    """Waits for the one answer to a call."""
+
+    def __init__(self) -> None:
+        self._queue = curio.Queue()
+
+    async def deliver(self, message: Any) -> None:
+        await self._queue.put(message)
+
+    async def lose(self) -> None:
+        await self._queue.put(None)
+
+    async def receive(self) -> Any:
+        return await self._queue.get()
+
+
+class Link:
+    """Messages to and from one peer.
+
+    Each side numbers the streams that it opens. A message toward the opener
+    is marked as an answer, so the two numberings never meet.
+    """
+
+    def __init__(self, sock: Socket, handler: LinkHandler) -> None:
+        self._sock = sock
+        self._handler = handler
+        self._last_stream = 0
+        self._opened_by_stream: dict[int, Receiver] = {}
+        self._accepted_by_stream: dict[int, Receiver] = {}
+        self._unsent: deque[bytes] = deque()
+        self._unsent_bytes = 0
+        self._has_unsent = curio.Event()
+        self._is_closed = False
+        self.peer: HelloSaid | None = None
+        """What the peer said first; None before."""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be posted."""
+        return not self._is_closed and self.peer is not None
+
+    @property
+    def stream_count(self) -> int:
+        """Streams under way, both ways."""
+        return len(self._opened_by_stream) + len(self._accepted_by_stream)
+
+    async def greet(self, hello: HelloSaid) -> HelloSaid:
+        """Exchange first messages.
+
+        Args:
+            hello: This daemon's own.
+
+        Returns:
+            The peer's.
+
+        Raises:
+            BadInput: If the peer speaks another protocol.
+            LinkLost: If it says nothing in time.
+        """
+        await self._sock.sendall(encode(Envelope(0, False, hello)))
+        buffer = bytearray()
+        try:
+            async with curio.timeout_after(_HELLO_SECONDS):
+                envelope = await self._receive_one(buffer)
+        except (OSError, curio.TaskTimeout) as error:
+            raise LinkLost(ErrorCode.PEER_LOST, f"no hello: {error}") from None
+        said = envelope.message
+        if not isinstance(said, HelloSaid) or said.version < LOWEST_PROTOCOL_VERSION:
+            raise BadInput(ErrorCode.BAD_PEER_MESSAGE, "not a peer of this version")
+        self.peer = said
+        self._buffer = buffer
+        return said
+
+    async def run(self) -> None:
+        """Read and write until the link breaks; needs `greet` before."""
+        writer = await curio.spawn(self._write)
+        try:
+            await self._read(self._buffer)
+        except (OSError, BadInput) as error:
+            _LOG.info("LinkBroken", extra={"peer": self._peer_name, "why": str(error)})
+        finally:
+            self._is_closed = True
+            await writer.cancel()
+            await self._sock.close()
+            await self._lose_streams()
+
+    async def close(self) -> None:
+        """Break the link; `run` ends soon after."""
+        self._is_closed = True
+        try:
+            await self._sock.shutdown(2)
+        except OSError:
+            pass
+
+    def open_stream(self, receiver: Receiver) -> int:
+        """Number a new stream of this side.
+
+        Args:
+            receiver: Takes in what comes back.
+
+        Returns:
+            The number of the stream.
+
+        Raises:
+            LinkLost: If the link is gone; nothing was sent.
+        """
+        if not self.is_open:
+            raise LinkLost(ErrorCode.PEER_LOST, "no link to the peer")
+        self._last_stream += 1
+        self._opened_by_stream[self._last_stream] = receiver
+        return self._last_stream
+
+    def close_stream(self, stream: int) -> None:
+        """Forget a stream of this side; late messages on it are dropped."""
+        self._opened_by_stream.pop(stream, None)
+
+    def accept_stream(self, stream: int, receiver: Receiver) -> None:
+        """Take further messages on a stream of the peer's."""
+        self._accepted_by_stream[stream] = receiver
+
+    def release_stream(self, stream: int) -> None:
+        """Forget a stream of the peer's; late messages on it are dropped."""
+        self._accepted_by_stream.pop(stream, None)
+
+    async def post(self, stream: int, is_answer: bool, message: Any) -> None:
+        """Queue a message; it goes out with others in one write.
+
+        Raises:
+            LinkLost: If the link is gone, or too much waits to be sent.
+        """
+        if self._is_closed:
+            raise LinkLost(ErrorCode.PEER_LOST, "no link to the peer")
+        data = encode(Envelope(stream, is_answer, message))
+        self._unsent.append(data)
+        self._unsent_bytes += len(data)
+        if self._unsent_bytes > MAX_UNSENT_BYTES:
+            await self.close()
+            raise LinkLost(ErrorCode.PEER_LOST, "the peer takes nothing in")
+        await self._has_unsent.set()
+
+    async def tell(self, message: Any) -> None:
+        """Send a message that needs no answer; a lost link loses it."""
+        self._last_stream += 1
+        try:
+            await self.post(self._last_stream, False, message)
+        except LinkLost:
+            pass
+
+    async def call(self, message: Any, timeout_seconds: float) -> Any:
+        """Send a message and wait for its answer.
+
+        Args:
+            message: The message.
+            timeout_seconds: Longest wait.
+
+        Returns:
+            The answer.
+
+        Raises:
+            LinkLost: If the link breaks or time runs out.
+        """
+        reply = _Reply()
+        stream = self.open_stream(reply)
+        try:
+            await self.post(stream, False, message)
+            async with curio.timeout_after(timeout_seconds):
+                answer = await reply.receive()
+        except curio.TaskTimeout:
+            raise LinkLost(ErrorCode.PEER_LOST, "no answer in time") from None
+        finally:
+            self.close_stream(stream)
+        if answer is None:
+            raise LinkLost(ErrorCode.PEER_LOST, "the link broke")
+        return answer
+
+    @property
+    def _peer_name(self) -> str:
+        return self.peer.daemon.name if self.peer else "unknown"
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self._has_unsent.wait()
+                self._has_unsent.clear()
+                data = b"".join(self._unsent)
+                self._unsent.clear()
+                self._unsent_bytes = 0
+                await self._sock.sendall(data)
+        except OSError:
+            await self.close()
+
+    async def _read(self, buffer: bytearray) -> None:
+        while not self._is_closed:
+            envelope = await self._receive_one(buffer)
+            receivers = self._accepted_by_stream
+            if envelope.is_answer:
+                receivers = self._opened_by_stream
+            receiver = receivers.get(envelope.stream)
+            if receiver is not None:
+                await receiver.deliver(envelope.message)
+            elif not envelope.is_answer:
+                await self._handler.handle(self, envelope.stream, envelope.message)
+
+    async def _receive_one(self, buffer: bytearray) -> Envelope:
+        await self._fill(buffer, LENGTH_BYTES)
+        length = length_of(bytes(buffer[:LENGTH_BYTES]))
+        await self._fill(buffer, LENGTH_BYTES + length)
+        data = bytes(memoryview(buffer)[LENGTH_BYTES : LENGTH_BYTES + length])
+        del buffer[: LENGTH_BYTES + length]
+        return decode(data)
+
+    async def _fill(self, buffer: bytearray, size: int) -> None:
+        while len(buffer) < size:
+            data = await self._sock.recv(RECEIVE_BYTES)
+            if not data:
+                raise ConnectionResetError("the peer closed the link")
+            buffer += data
+
+    async def _lose_streams(self) -> None:
+        receivers = [
+            *self._opened_by_stream.values(),
+            *self._accepted_by_stream.values(),
+        ]
+        self._opened_by_stream.clear()
+        self._accepted_by_stream.clear()
+        for receiver in receivers:
+            await receiver.lose()
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -50,6 +50,7 @@
   connections @4 :UInt32;
   instance @5 :Text;
   isDraining @6 :Bool;
+  reportPath @7 :Text;
 }
 
 struct MemberRecord {
@@ -67,8 +68,8 @@
 struct HeartbeatAnswered {
   revision @0 :UInt64;
   membersDigest @1 :UInt64;
-  evidenceAge @2 :Float64;
-  evidenceRevision @3 :UInt64;
+  leaseSeconds @2 :Float64;
+  isExtended @3 :Bool;
   views @4 :List(TargetViewTold);
 }
 
--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -22,6 +22,7 @@
     ConsoleSpanExporter,
     SpanExporter,
 )
+from opentelemetry.trace import Span
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 if TYPE_CHECKING:
@@ -29,7 +30,6 @@
     from collections.abc import Mapping
 
     from opentelemetry.metrics import Counter, Histogram
-    from opentelemetry.trace import Span
 
     from bramleyglade_core.model.settings import DaemonSettings
 
--- a/packages/core/src/bramleyglade_core/decisions/__init__.py
+++ b/packages/core/src/bramleyglade_core/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Policy objects and functions, called by the tasks with clock and randomness handed in."""
+"""Policy objects and functions; clock and randomness are handed in."""
--- a/packages/core/src/bramleyglade_core/decisions/attempt_table.py
+++ b/packages/core/src/bramleyglade_core/decisions/attempt_table.py
@@ -7,8 +7,9 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.model.exchange import AnswerEvent
+
 if TYPE_CHECKING:
-    from bramleyglade_core.model.exchange import AnswerEvent
     from bramleyglade_core.model.identifiers import AttemptId
     from bramleyglade_core.model.settings import GuardSettings
     from bramleyglade_core.ports.clock import Clock
@@ -21,6 +22,9 @@
     STARTED = "started"
     """Bytes of it may have reached the target."""
     ANSWERED = "answered"
+    """The target has answered; the answer may have been kept."""
+    BROKEN = "broken"
+    """It started, and no whole answer will come."""
     FENCED = "fenced"
     """It never reached the target and never will."""
 
@@ -38,9 +42,8 @@
 class AttemptTable:
     """Attempts by their identifier, each of which starts at most once.
 
-    Records are kept for a bounded time. A copy of an attempt that comes after
-    its record is gone is refused by its age (see `is_too_old`), so forgetting
-    never lets an attempt run twice.
+    Records are kept for a bounded time after the attempt has ended. Fronts ask
+    about an attempt, and send a copy of it, only well within that time.
     """
 
     def __init__(self, settings: GuardSettings, clock: Clock) -> None:
@@ -58,10 +61,6 @@
         self._forget_old()
         return len(self._record_by_attempt) >= self._settings.remembered_attempts
 
-    def is_too_old(self, age_seconds: float) -> bool:
-        """Tell whether a message this old may speak of a forgotten attempt."""
-        return age_seconds >= self._settings.remember_seconds / 2
-
     def accept(self, attempt: AttemptId) -> bool:
         """Enter a new attempt.
 
@@ -120,6 +119,12 @@
             answer, size = None, 0
         self._set(attempt, AttemptPhase.ANSWERED, answer, size)
 
+    def break_off(self, attempt: AttemptId) -> None:
+        """Note that a started attempt has ended without a whole answer."""
+        record = self._record_by_attempt.get(attempt)
+        if record is not None and record.phase is AttemptPhase.STARTED:
+            self._set(attempt, AttemptPhase.BROKEN)
+
     def find(self, attempt: AttemptId) -> AttemptRecord | None:
         """Return what is known of an attempt."""
         return self._record_by_attempt.get(attempt)
@@ -142,5 +147,8 @@
             attempt, record = next(iter(self._record_by_attempt.items()))
             if record.noted_at > oldest:
                 return
+            if record.phase is AttemptPhase.STARTED:
+                self._set(attempt, AttemptPhase.STARTED)
+                continue
             del self._record_by_attempt[attempt]
             self._answer_bytes -= record.answer_bytes
--- a/packages/core/src/bramleyglade_core/decisions/directory.py
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from bramleyglade_core.decisions.ejection_book import ServiceCapacity
 from bramleyglade_core.model.announcements import DaemonPhase, TargetAnnouncement
 from bramleyglade_core.model.identifiers import TargetId
@@ -14,6 +16,7 @@
 
     from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.model.announcements import MemberRecord
+    from bramleyglade_core.model.entities import Service
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +39,10 @@
         self.record_by_name: dict[str, MemberRecord] = {}
         self._suspected_by_name: dict[str, int] = {}
         self._candidates_by_service: dict[str, list[Candidate]] | None = None
+        self.version = 0
+        """Grows with each change."""
+        self.digest = 0
+        """Digest of all records; equal on daemons that hold the same."""
 
     def merge(self, record: MemberRecord) -> bool:
         """Take in a record.
@@ -51,9 +58,10 @@
         if known is not None and known.order >= record.order:
             return False
         self.record_by_name[name] = record
-        if known is None or known.daemon.incarnation != record.daemon.incarnation:
-            self._suspected_by_name.pop(name, None)
-        self._candidates_by_service = None
+        # A newer word refutes a suspicion: the owner is there to speak.
+        self._suspected_by_name.pop(name, None)
+        self.digest ^= _digest(record) ^ (_digest(known) if known else 0)
+        self._note_change()
         return True
 
     def suspect(self, name: str) -> bool:
@@ -68,13 +76,13 @@
         if self._suspected_by_name.get(name) == record.daemon.incarnation:
             return False
         self._suspected_by_name[name] = record.daemon.incarnation
-        self._candidates_by_service = None
+        self._note_change()
         return True
 
     def trust(self, name: str) -> None:
         """Note that a daemon has answered."""
         if self._suspected_by_name.pop(name, None) is not None:
-            self._candidates_by_service = None
+            self._note_change()
 
     def is_live(self, name: str) -> bool:
         """Tell whether a daemon is in the fleet and answers somebody."""
@@ -124,6 +132,10 @@
                 live += target.slots
         return ServiceCapacity(announced, live)
 
+    def _note_change(self) -> None:
+        self._candidates_by_service = None
+        self.version += 1
+
     def _targets(
         self, service: str
     ) -> Iterable[tuple[MemberRecord, TargetAnnouncement]]:
@@ -144,3 +156,41 @@
                 candidate = Candidate(TargetId(name, target.name), record.zone, target)
                 index.setdefault(target.service, []).append(candidate)
         return index
+
+
+def _digest(record: MemberRecord) -> int:
+    word = f"{record.daemon.name}|{record.daemon.incarnation}|{record.sequence}"
+    return xxhash.xxh64_intdigest(word.encode())
+
+
+class RoutableTargets:
+    """Targets that take new work, worked out anew only when something changed."""
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+        self._version = -1
+        self._configuration: Configuration | None = None
+        self._found_by_service: dict[str, list[Candidate]] = {}
+
+    def find(self, service: Service, configuration: Configuration) -> list[Candidate]:
+        """Return the targets of a service in the zones that it may use now.
+
+        Args:
+            service: The service as configured now.
+            configuration: The configuration in force.
+
+        Returns:
+            Its targets on live daemons, in zones in use.
+        """
+        is_stale = self._version != self._directory.version
+        if is_stale or self._configuration is not configuration:
+            self._found_by_service.clear()
+            self._version = self._directory.version
+            self._configuration = configuration
+        found = self._found_by_service.get(service.name)
+        if found is None:
+            zones = {z for z in service.zones if configuration.is_zone_in_use(z)}
+            everywhere = self._directory.candidates(service.name)
+            found = [c for c in everywhere if c.zone in zones]
+            self._found_by_service[service.name] = found
+        return found
--- a/packages/core/src/bramleyglade_core/decisions/ejection_book.py
+++ b/packages/core/src/bramleyglade_core/decisions/ejection_book.py
@@ -9,9 +9,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.model.identifiers import DaemonId
+
 if TYPE_CHECKING:
     from bramleyglade_core.model.ejections import EjectionAsked
-    from bramleyglade_core.model.identifiers import DaemonId, TargetId
+    from bramleyglade_core.model.identifiers import TargetId
 
 EJECTION_TERM_SECONDS = 6.0
 """How long leave to eject is good, from before the asking."""
--- a/packages/core/src/bramleyglade_core/decisions/gray_test.py
+++ b/packages/core/src/bramleyglade_core/decisions/gray_test.py
@@ -22,6 +22,9 @@
 _LARGEST_STEP = 2.2
 """Most evidence that one answer's latency can add; one outlier decides nothing."""
 
+_CEILING = 1.5
+"""Most evidence that is kept, as a multiple of the threshold."""
+
 
 class GrayTest:
     """The test of one target."""
@@ -66,7 +69,8 @@
 
     def note_failure(self) -> None:
         """Take in an error, a reset, a truncated answer or a timeout."""
-        self._error_sum += self._error_step
+        ceiling = _CEILING * self._settings.threshold
+        self._error_sum = min(ceiling, self._error_sum + self._error_step)
 
     def note_overdue(self, seconds: float, service_log_latency: float | None) -> None:
         """Take in that an exchange has no answer yet after some time.
@@ -89,4 +93,5 @@
             return
         excess = log_latency - service_log_latency
         step = min(_LARGEST_STEP, self._slope * (excess - self._middle))
-        self._slow_sum = max(0.0, self._slow_sum + step)
+        ceiling = _CEILING * self._settings.threshold
+        self._slow_sum = min(ceiling, max(0.0, self._slow_sum + step))
--- a/packages/core/src/bramleyglade_core/decisions/lease.py
+++ b/packages/core/src/bramleyglade_core/decisions/lease.py
@@ -70,9 +70,7 @@
         self._settings = settings
         self._clock = clock
         self._end = float("-inf")
-        self._evidence_at = float("-inf")
-        self.extended_until = float("-inf")
-        """End of the newest extension, on this process's clock."""
+        self._fresh_end = float("-inf")
 
     @property
     def is_valid(self) -> bool:
@@ -80,24 +78,36 @@
         return self._clock() < self._end
 
     @property
-    def evidence_age(self) -> float:
-        """Seconds since the newest fresh evidence; infinite without any."""
-        return self._clock() - self._evidence_at
+    def remaining_seconds(self) -> float:
+        """Seconds until the lease lapses; 0 once it has."""
+        return max(0.0, self._end - self._clock())
 
     @property
-    def remaining_seconds(self) -> float:
-        """Seconds until the lease lapses; negative once it has."""
-        return self._end - self._clock()
+    def is_extended(self) -> bool:
+        """Whether only the word that the store is away keeps the lease."""
+        return self._clock() >= self._fresh_end
+
+    def renew(self, asked_at: float) -> None:
+        """Renew by this daemon's own read of the store, also after a lapse.
+
+        Args:
+            asked_at: Time on this process's clock from before the asking.
+        """
+        self._fresh_end = max(self._fresh_end, asked_at + self._settings.term_seconds)
+        self._end = max(self._end, self._fresh_end)
 
-    def renew(self, evidence_at: float) -> None:
-        """Renew by fresh evidence, also after a lapse.
+    def adopt(self, asked_at: float, seconds: float, is_extended: bool) -> None:
+        """Take over what a peer's lease has left; it never grows on the way.
 
         Args:
-            evidence_at: Time on this process's clock from which the evidence
-                surely dates: before the asking, less the age that a peer told.
+            asked_at: Time on this process's clock from before the asking.
+            seconds: What the peer's lease had left when it answered.
+            is_extended: Whether it rests on the word that the store is away.
         """
-        self._evidence_at = max(self._evidence_at, evidence_at)
-        self._end = max(self._end, evidence_at + self._settings.term_seconds)
+        end = asked_at + min(seconds, self._settings.term_seconds)
+        self._end = max(self._end, end)
+        if not is_extended:
+            self._fresh_end = max(self._fresh_end, end)
 
     def extend(self, asked_at: float) -> bool:
         """Extend by the word of a majority that the store is away.
@@ -110,8 +120,7 @@
         """
         if not self.is_valid:
             return False
-        self.extended_until = asked_at + self._settings.term_seconds
-        self._end = max(self._end, self.extended_until)
+        self._end = max(self._end, asked_at + self._settings.term_seconds)
         return True
 
 
--- a/packages/core/src/bramleyglade_core/decisions/share_holding.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_holding.py
@@ -72,6 +72,10 @@
         """Whether an answer of the keeper is awaited."""
         return self._asked_at is not None
 
+    def has_been_confirmed(self, now: float) -> bool:
+        """Tell whether the keeper has spoken within the term."""
+        return now < self.term_end
+
     def try_admit(self, team: Team, now: float) -> bool:
         """Spend one request of the share.
 
--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.model.announcements import KeeperAssignment
+from bramleyglade_core.model.tickets import EntityState
 
 if TYPE_CHECKING:
     from bramleyglade_core.decisions.configuration import Configuration
-    from bramleyglade_core.model.announcements import KeeperAssignment
-    from bramleyglade_core.model.tickets import EntityState
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bramleyglade_core/decisions/ticket_check.py
+++ b/packages/core/src/bramleyglade_core/decisions/ticket_check.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.decisions.configuration import Configuration
 from bramleyglade_core.model.entities import (
     Entity,
     EntityKey,
@@ -17,9 +19,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-    from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.model.tickets import Ticket
 
 
--- a/packages/core/src/bramleyglade_core/model/announcements.py
+++ b/packages/core/src/bramleyglade_core/model/announcements.py
@@ -27,6 +27,8 @@
     """Changes when the target restarts; its cold start begins anew."""
     is_draining: bool = False
     """True once the target asked for no new work."""
+    report_path: str = ""
+    """Path of the target's load report; empty if it has none."""
 
     def __post_init__(self) -> None:
         if not self.name or not self.service:
--- a/packages/core/src/bramleyglade_core/model/errors.py
+++ b/packages/core/src/bramleyglade_core/model/errors.py
@@ -20,6 +20,7 @@
     KEY_NOT_ALLOWED = "key-not-allowed"
     CONFIGURATION_STALE = "configuration-stale"
     RATE_EXCEEDED = "rate-exceeded"
+    LIMIT_UNKNOWN = "limit-unknown"
     NO_TARGET = "no-target"
     QUEUE_FULL = "queue-full"
     DEADLINE_TOO_SHORT = "deadline-too-short"
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -52,10 +52,10 @@
 
     revision: int
     members_digest: int
-    evidence_age: float
-    """Seconds since the store was surely at `revision`; infinite if unknown."""
-    evidence_revision: int
-    """Revision that the evidence speaks of."""
+    lease_seconds: float
+    """Time that the sender's lease, on this revision, is still good; 0 if none."""
+    is_extended: bool
+    """Whether the lease rests on the word that the store is away."""
     views: tuple[TargetViewTold, ...] = ()
 
 
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on each target VM: front and guard in one process."""
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -0,0 +1,120 @@
+"""One daemon: its parts, their tasks and its planned stop."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_core.model.announcements import DaemonPhase
+from bramleyglade_daemon.fleet.keepers import Keepers
+from bramleyglade_daemon.fleet.membership import Membership
+from bramleyglade_daemon.fleet.message_handler import MessageHandler
+from bramleyglade_daemon.fleet.peers import Peers
+from bramleyglade_daemon.fleet.shared_state import SharedState
+from bramleyglade_daemon.front.caller_task import Front
+from bramleyglade_daemon.front.dispatcher import Dispatcher
+from bramleyglade_daemon.front.guard_ports import GuardPorts
+from bramleyglade_daemon.front.team_limiter import TeamLimiter
+from bramleyglade_daemon.guard.announce_server import AnnounceServer
+from bramleyglade_daemon.guard.ejector import Ejector
+from bramleyglade_daemon.guard.guard import Guard, LocalGuardPort
+from bramleyglade_daemon.guard.report_reader import ReportReader
+
+if TYPE_CHECKING:
+    from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.model.identifiers import Address
+    from bramleyglade_core.model.peer_messages import HelloSaid
+    from bramleyglade_daemon.fleet.context import Context
+
+_BACKLOG = 512
+_STOP_LOOK_SECONDS = 0.05
+_NOTICE_SECONDS = 1.0
+"""Time for which a leaving daemon still answers on open connections."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class Daemon:
+    """Puts the parts together and runs their tasks."""
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+        self.peers = Peers(context)
+        self.shared = SharedState(context, self.peers)
+        self.membership = Membership(context, self.peers, self.shared)
+        self.keepers = Keepers(context, self.peers, self.shared)
+        self.guard = Guard(context)
+        local = LocalGuardPort(self.guard, context.settings.peers.window_bytes)
+        dispatcher = Dispatcher(context, GuardPorts(context, self.peers, local))
+        self.limiter = TeamLimiter(context, self.keepers)
+        self.front = Front(context, dispatcher, self.limiter)
+        self.peers.handler = MessageHandler(
+            context, self.peers, self.membership, self.shared, self.keepers, self.guard
+        )
+        self.peers.on_greeted = self._greeted
+        self.guard.on_changed = self.membership.publish
+        self.shared.on_extended = self.limiter.extend
+        self._tasks: list[curio.Task] = []
+        self._callers: curio.Task | None = None
+
+    async def start(self) -> None:
+        """Start all tasks and listen."""
+        settings = self.context.settings
+        for work in (
+            self.shared.run,
+            self.membership.keep_announced,
+            self.membership.keep_discovering,
+            self.membership.keep_neighbours,
+            self.membership.keep_watch,
+            self.keepers.run,
+            self.limiter.run,
+            self.guard.watch_targets,
+            ReportReader(self.guard).run,
+            Ejector(self.context, self.guard, self.keepers).run,
+        ):
+            self._tasks.append(await curio.spawn(work, daemon=True))
+        announcer = AnnounceServer(self.context, self.guard)
+        await self._listen(settings.peer_address, self.peers.accept)
+        await self._listen(settings.announce_address, announcer.serve)
+        self._callers = await self._listen(settings.caller_address, self.front.serve)
+        _LOG.info("DaemonStarted", extra={"daemon": settings.name})
+
+    async def stop(self) -> None:
+        """Stop gracefully: cut no request, hand back all that is held."""
+        _LOG.info("DaemonStopping", extra={"daemon": self.context.settings.name})
+        self.context.phase = DaemonPhase.LEAVING
+        await self.membership.publish()
+        if self._callers is not None:
+            await self._callers.cancel()
+        async with curio.ignore_after(self.context.settings.stop_seconds):
+            await curio.sleep(_NOTICE_SECONDS)
+            await self._wait_idle()
+            await self.limiter.release_all()
+            await self.keepers.hand_over_all()
+        self.context.phase = DaemonPhase.GONE
+        await self.membership.publish()
+        await self.membership.leave_store()
+        await self.guard.close()
+        await curio.sleep(_STOP_LOOK_SECONDS)
+        for task in self._tasks:
+            await task.cancel()
+        await self.peers.close()
+        _LOG.info("DaemonStopped", extra={"daemon": self.context.settings.name})
+
+    async def _wait_idle(self) -> None:
+        while self.front.busy or self.guard.running:
+            await curio.sleep(_STOP_LOOK_SECONDS)
+
+    async def _listen(self, address: Address, serve: object) -> curio.Task:
+        sock = curio.tcp_server_socket(address.host, address.port, backlog=_BACKLOG)
+        task = await curio.spawn(
+            curio.network.run_server, sock, serve, None, daemon=True
+        )
+        self._tasks.append(task)
+        return task
+
+    async def _greeted(self, link: Link, said: HelloSaid) -> None:
+        await curio.spawn(self.membership.keep_beating, link, daemon=True)
+        await self.membership.take_records((said.record,), said.daemon.name)
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemon does as a member of the fleet."""
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -0,0 +1,98 @@
+"""What all tasks of one daemon share."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.decisions.directory import Directory
+from bramleyglade_core.decisions.lease import Lease, StoreContact
+from bramleyglade_core.decisions.picker import Picker
+from bramleyglade_core.decisions.shared_view import SharedView
+from bramleyglade_core.model.announcements import DaemonPhase, MemberRecord
+from bramleyglade_core.model.identifiers import DaemonId
+
+if TYPE_CHECKING:
+    from bramleyglade_adapters.telemetry import Telemetry
+    from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.model.announcements import TargetAnnouncement
+    from bramleyglade_core.model.settings import DaemonSettings
+    from bramleyglade_core.ports.clock import Clock
+    from bramleyglade_core.ports.store import ObjectStore
+
+_NANOSECONDS_PER_MICROSECOND = 1000
+
+
+def new_incarnation() -> int:
+    """Return an incarnation above that of any earlier start on this VM."""
+    return time.time_ns() // _NANOSECONDS_PER_MICROSECOND
+
+
+class Context:
+    """Settings, identity, shared knowledge and outside ports of one daemon."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        store: ObjectStore,
+        telemetry: Telemetry,
+        clock: Clock = time.monotonic,
+        random_source: random.Random | None = None,
+        incarnation: int | None = None,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.telemetry = telemetry
+        self.clock = clock
+        self.random = random_source or random.Random()
+        self.daemon = DaemonId(settings.name, incarnation or new_incarnation())
+        self.view = SharedView()
+        self.directory = Directory()
+        self.lease = Lease(settings.lease, clock)
+        self.contact = StoreContact(clock)
+        self.picker = Picker(settings.zone, self.random)
+        self.phase = DaemonPhase.SERVING
+        self.discovered_at: float | None = None
+        """When the members were first read from the store; None before."""
+        self._sequence = 0
+        self.targets: tuple[TargetAnnouncement, ...] = ()
+        """Targets that have announced themselves on this VM."""
+        self.renew_record()
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force on this daemon."""
+        return self.view.configuration
+
+    @property
+    def record(self) -> MemberRecord:
+        """This daemon's own word about itself."""
+        return self.directory.record_by_name[self.settings.name]
+
+    @property
+    def is_zone_in_use(self) -> bool:
+        """Whether operators have left this daemon's zone in use."""
+        return self.configuration.is_zone_in_use(self.settings.zone)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.phase is not DaemonPhase.SERVING
+
+    def renew_record(self) -> MemberRecord:
+        """Write this daemon's own record anew, above any that is known."""
+        known = self.directory.record_by_name.get(self.settings.name)
+        if known is not None and known.daemon == self.daemon:
+            self._sequence = max(self._sequence, known.sequence)
+        self._sequence += 1
+        record = MemberRecord(
+            daemon=self.daemon,
+            sequence=self._sequence,
+            address=self.settings.peer_address,
+            zone=self.settings.zone,
+            phase=self.phase,
+            targets=self.targets,
+        )
+        self.directory.merge(record)
+        return record
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -0,0 +1,268 @@
+"""Keepers of shards: who keeps what, and asks to them."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.store.shared_objects import keeper_key
+from bramleyglade_adapters.structure import to_json
+from bramleyglade_core.decisions.rendezvous import rank, shard_of
+from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
+from bramleyglade_core.model.announcements import KeeperAssignment
+from bramleyglade_core.model.ejections import EjectionAsked, EjectionTold
+from bramleyglade_core.model.errors import FleetError, StoreError
+from bramleyglade_core.model.shares import BookHandedOver, ShareAsked, ShareGranted
+from bramleyglade_daemon.fleet.peers import expect
+from bramleyglade_daemon.fleet.shared_state import SIGHT_FRESH_SECONDS
+
+if TYPE_CHECKING:
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.fleet.peers import Peers
+    from bramleyglade_daemon.fleet.shared_state import SharedState
+
+_PERIOD_SECONDS = 0.3
+_ANSWER_SECONDS = 1.0
+
+_SETTLE_SECONDS = 1.0
+"""Time after the first look at the members in which nothing is claimed."""
+
+_UNKNOWN_SECONDS = 5.0
+"""Time after which a keeper that is no known member counts as gone."""
+
+_CLAIM_PAUSE_SECONDS = 2.0
+"""Time between two claims of one shard, in which the first one shows."""
+
+_MOST_CLAIMS = 8
+"""Claims written in one period, to spare the store."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class Keepers:
+    """The shards that this daemon keeps, and the way to those of others."""
+
+    def __init__(self, context: Context, peers: Peers, shared: SharedState) -> None:
+        self._context = context
+        self._peers = peers
+        self._shared = shared
+        self._keeper_by_shard: dict[int, ShardKeeper] = {}
+        self._handed_by_shard: dict[int, BookHandedOver] = {}
+        self._claimed_at_by_shard: dict[int, float] = {}
+        self._orphan_since_by_shard: dict[int, float] = {}
+        self._is_stopped = False
+
+    async def run(self) -> None:
+        """Take over shards without a keeper and go through the waits, for ever."""
+        while True:
+            self.adopt_assignments()
+            if self._context.lease.is_valid and not self._context.is_leaving:
+                await self._claim_orphans()
+                await self._confirm()
+            jitter = self._context.random.uniform(0.8, 1.2)
+            await curio.sleep(_PERIOD_SECONDS * jitter)
+
+    def adopt_assignments(self) -> None:
+        """Begin and end keeping as the assignments in force say."""
+        now = self._context.clock()
+        for shard, assignment in self._context.view.assignment_by_shard.items():
+            keeper = self._keeper_by_shard.get(shard)
+            if assignment.keeper != self._context.daemon:
+                if self._keeper_by_shard.pop(shard, None) is not None:
+                    _LOG.warning("KeeperSuperseded", extra={"shard": shard})
+            elif keeper is None or keeper.assignment.epoch != assignment.epoch:
+                keeper = ShardKeeper(assignment, self._context.settings, now)
+                self._keeper_by_shard[shard] = keeper
+                self._take_handed(keeper, now)
+
+    async def ask_share(self, asked: ShareAsked) -> ShareGranted | None:
+        """Ask the keeper of a team for shares.
+
+        Args:
+            asked: The holder's statement and needs.
+
+        Returns:
+            The keeper's answer, or None if there is none to be had.
+        """
+        name = self._keeper_name(f"team/{asked.team}")
+        if name is None:
+            return None
+        if name == self._context.settings.name:
+            return self.answer_share(asked)
+        try:
+            answer = await self._peers.call(name, asked, _ANSWER_SECONDS)
+            return expect(answer, ShareGranted)
+        except FleetError as error:
+            _LOG.info("KeeperUnreachable", extra={"keeper": name, "why": str(error)})
+            return None
+
+    def answer_share(self, asked: ShareAsked) -> ShareGranted:
+        """Answer a holder as the keeper of its team."""
+        refusal = ShareGranted(asked.team, asked.sequence, False, retry_after=0.5)
+        keeper = self._find_keeper(f"team/{asked.team}")
+        team = self._context.configuration.team_by_name.get(asked.team)
+        if keeper is None or team is None:
+            return refusal
+        return keeper.answer(asked, team, self._context.clock()) or refusal
+
+    async def ask_ejection(self, asked: EjectionAsked) -> bool | None:
+        """Ask the keeper of a service for leave to eject; None if unreachable."""
+        name = self._keeper_name(f"service/{asked.service}")
+        if name is None:
+            return None
+        if name == self._context.settings.name:
+            return self.answer_ejection(asked).is_granted
+        try:
+            answer = await self._peers.call(name, asked, _ANSWER_SECONDS)
+            return expect(answer, EjectionTold).is_granted
+        except FleetError:
+            return None
+
+    def answer_ejection(self, asked: EjectionAsked) -> EjectionTold:
+        """Answer a guard as the keeper of its service's ejections."""
+        is_granted = False
+        configuration = self._context.configuration
+        keeper = self._find_keeper(f"service/{asked.service}")
+        service = configuration.service_by_name.get(asked.service)
+        if keeper is not None and service is not None:
+            if keeper.phase is not KeeperPhase.WAITING:
+                directory = self._context.directory
+                answer = keeper.ejections(asked.service).answer(
+                    asked,
+                    service.floor,
+                    directory.capacity(asked.service, configuration),
+                    self._context.clock(),
+                    keeper.phase is KeeperPhase.COLLECTING,
+                )
+                is_granted = bool(answer)
+        return EjectionTold(asked.service, asked.target, asked.sequence, is_granted)
+
+    def take_handed(self, handed: BookHandedOver) -> None:
+        """Take in the book of a keeper that leaves."""
+        self._handed_by_shard[handed.shard] = handed
+        keeper = self._keeper_by_shard.get(handed.shard)
+        if keeper is not None:
+            self._take_handed(keeper, self._context.clock())
+
+    async def hand_over_all(self) -> None:
+        """Pass each shard to a successor, before this daemon leaves."""
+        self._is_stopped = True
+        for shard, keeper in list(self._keeper_by_shard.items()):
+            await self._hand_over(shard, keeper)
+
+    def _find_keeper(self, key: str) -> ShardKeeper | None:
+        """Return the books for a key, if this daemon may use them now."""
+        if self._is_stopped or not self._context.lease.is_valid:
+            return None
+        self.adopt_assignments()
+        shards = self._context.settings.limits.shards
+        return self._keeper_by_shard.get(shard_of(key, shards))
+
+    def _keeper_name(self, key: str) -> str | None:
+        shards = self._context.settings.limits.shards
+        assignment = self._context.view.assignment_by_shard.get(shard_of(key, shards))
+        return assignment.keeper.name if assignment is not None else None
+
+    async def _claim_orphans(self) -> None:
+        """Write an assignment for each orphan that falls to this daemon."""
+        now = self._context.clock()
+        discovered_at = self._context.discovered_at
+        if discovered_at is None or now < discovered_at + _SETTLE_SECONDS:
+            return
+        if self._context.lease.is_extended:
+            return
+        for shard in self._orphans(now)[:_MOST_CLAIMS]:
+            self._claimed_at_by_shard[shard] = now
+            await self._claim(shard, self._context.view.assignment_by_shard.get(shard))
+
+    def _orphans(self, now: float) -> list[int]:
+        """Return the shards without a keeper that fall to this daemon."""
+        serving = self._context.directory.serving_names()
+        orphans = []
+        for shard in range(self._context.settings.limits.shards):
+            assignment = self._context.view.assignment_by_shard.get(shard)
+            if assignment is not None and self._is_at_work(shard, assignment, now):
+                continue
+            claimed_at = self._claimed_at_by_shard.get(shard, float("-inf"))
+            if now - claimed_at < _CLAIM_PAUSE_SECONDS:
+                continue
+            if rank(f"shard/{shard}", serving)[0] == self._context.settings.name:
+                orphans.append(shard)
+        return orphans
+
+    async def _claim(self, shard: int, known: KeeperAssignment | None) -> None:
+        epoch = known.epoch + 1 if known is not None else 1
+        wanted = KeeperAssignment(shard, self._context.daemon, epoch)
+        await self._write(wanted, known)
+        _LOG.info("ShardClaimed", extra={"shard": shard, "epoch": epoch})
+
+    async def _write(
+        self, wanted: KeeperAssignment, known: KeeperAssignment | None
+    ) -> None:
+        """Try to write an assignment; the view tells what became of it."""
+        key = keeper_key(wanted.shard)
+        try:
+            if known is None:
+                await self._context.store.create(key, to_json(wanted))
+            else:
+                value = to_json(wanted)
+                await self._context.store.update(key, value, known.revision)
+        except StoreError as error:
+            _LOG.info("ClaimFailed", extra={"shard": wanted.shard, "why": str(error)})
+
+    async def _confirm(self) -> None:
+        """Look again at the store, for shards that wait for that.
+
+        Members may speak of a contact that is a moment old, so what they say
+        is taken as of that moment.
+        """
+        now = self._context.clock() - SIGHT_FRESH_SECONDS
+        keepers = self._keeper_by_shard.values()
+        waiting = [keeper for keeper in keepers if keeper.needs_confirmation(now)]
+        if not waiting or self._context.lease.is_extended:
+            return
+        if not await self._shared.is_reached_by_majority(waiting[0].lease_wait_seconds):
+            return
+        self.adopt_assignments()
+        for keeper in waiting:
+            if self._keeper_by_shard.get(keeper.assignment.shard) is keeper:
+                before = keeper.phase
+                keeper.confirm(self._context.configuration.team_by_name, now)
+                self._log_phase(keeper, before)
+
+    def _log_phase(self, keeper: ShardKeeper, before: KeeperPhase) -> None:
+        if keeper.phase is not before:
+            extra = {"shard": keeper.assignment.shard, "phase": keeper.phase.value}
+            _LOG.info("KeeperAdvanced", extra=extra)
+
+    def _is_at_work(self, shard: int, assignment: KeeperAssignment, now: float) -> bool:
+        directory = self._context.directory
+        keeper = assignment.keeper
+        record = directory.record_by_name.get(keeper.name)
+        if record is None:
+            since = self._orphan_since_by_shard.setdefault(shard, now)
+            return now - since < _UNKNOWN_SECONDS
+        self._orphan_since_by_shard.pop(shard, None)
+        return record.daemon == keeper and directory.is_live(keeper.name)
+
+    def _take_handed(self, keeper: ShardKeeper, now: float) -> None:
+        handed = self._handed_by_shard.get(keeper.assignment.shard)
+        if handed is not None:
+            keeper.take_over_book(handed, now)
+
+    async def _hand_over(self, shard: int, keeper: ShardKeeper) -> None:
+        serving = self._context.directory.serving_names()
+        others = [name for name in serving if name != self._context.settings.name]
+        if not others or keeper.phase is not KeeperPhase.GRANTING:
+            return
+        successor = rank(f"shard/{shard}", others)[0]
+        daemon = self._context.directory.record_by_name[successor].daemon
+        assignment = KeeperAssignment(shard, daemon, keeper.assignment.epoch + 1)
+        try:
+            book = keeper.hand_over(assignment.epoch)
+            await self._peers.call(successor, book, _ANSWER_SECONDS)
+        except FleetError as error:
+            _LOG.info("HandoverUnheard", extra={"shard": shard, "why": str(error)})
+        await self._write(assignment, self._context.view.assignment_by_shard[shard])
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -0,0 +1,263 @@
+"""Who is in the fleet: announcements in the store, heartbeats and gossip."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.link.link import LinkLost
+from bramleyglade_adapters.store.shared_objects import (
+    MEMBER_PREFIX,
+    member_key,
+    read_members,
+)
+from bramleyglade_adapters.structure import to_json
+from bramleyglade_core.decisions.picker import TargetView
+from bramleyglade_core.decisions.rendezvous import rank
+from bramleyglade_core.model.errors import FleetError, StoreError
+from bramleyglade_core.model.identifiers import TargetId
+from bramleyglade_core.model.peer_messages import (
+    HeartbeatAnswered,
+    HeartbeatSent,
+    LookAsked,
+    LookTold,
+    RecordsAsked,
+    RecordsTold,
+    SuspicionTold,
+)
+from bramleyglade_daemon.fleet.peers import expect
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.model.announcements import MemberRecord
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.fleet.peers import Peers
+    from bramleyglade_daemon.fleet.shared_state import SharedState
+
+_STORE_PERIOD_SECONDS = 20.0
+"""Time between two looks at the announcements in the store."""
+
+_NEIGHBOUR_PERIOD_SECONDS = 0.5
+_STORE_RETRY_SECONDS = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+
+class Membership:
+    """Keeps the directory up to date and this daemon's record in it."""
+
+    def __init__(self, context: Context, peers: Peers, shared: SharedState) -> None:
+        self._context = context
+        self._peers = peers
+        self._shared = shared
+        self._must_announce = curio.Event()
+        self._members_revision = 0
+
+    async def publish(self) -> None:
+        """Write this daemon's record anew and pass it on."""
+        record = self._context.renew_record()
+        await self._peers.tell_all(RecordsTold((record,)))
+        await self._must_announce.set()
+
+    async def take_records(self, records: Iterable[MemberRecord], source: str) -> None:
+        """Merge records and pass on those that are news."""
+        news = [r for r in records if self._context.directory.merge(r)]
+        if not news:
+            return
+        for record in news:
+            if record.daemon.name == self._context.settings.name:
+                await self._answer_for_self(record)
+        await self._peers.tell_all(RecordsTold(tuple(news)), beside=source)
+        self._choose_neighbours()
+
+    async def take_suspicion(self, told: SuspicionTold, source: str) -> None:
+        """Take in that a daemon is suspected, unless this one knows better."""
+        name = told.daemon.name
+        if told.daemon == self._context.daemon:
+            await self.publish()
+            return
+        known = self._context.directory.record_by_name.get(name)
+        if known is None or known.daemon != told.daemon:
+            return
+        if self._hears(name):
+            await self._peers.tell_all(RecordsTold((known,)))
+            return
+        if self._context.directory.suspect(name):
+            _LOG.warning("MemberSuspected", extra={"member": name, "by": source})
+            await self._peers.tell_all(told, beside=source)
+
+    async def look(self, asked: LookAsked) -> LookTold:
+        """Look at a daemon for a peer."""
+        is_live = self._hears(asked.name)
+        if not is_live:
+            try:
+                await self._peers.reach(asked.name)
+                is_live = True
+            except LinkLost:
+                is_live = False
+        return LookTold(asked.name, is_live)
+
+    async def keep_beating(self, link: Link) -> None:
+        """Send heartbeats on one link until it breaks."""
+        period = self._context.settings.peers.heartbeat_seconds
+        while link.is_open:
+            await self._beat(link)
+            await curio.sleep(period * self._context.random.uniform(0.9, 1.1))
+
+    async def keep_watch(self) -> None:
+        """Have silent neighbours looked at, for ever."""
+        while True:
+            await curio.sleep(self._context.settings.peers.heartbeat_seconds)
+            await self._check_silent()
+
+    async def keep_neighbours(self) -> None:
+        """Keep links to neighbours, and to seeds until members are known."""
+        while True:
+            self._choose_neighbours()
+            for name in self._peers.neighbours:
+                await self._peers.keep(name)
+            if not self._peers.open_links():
+                for address in self._context.settings.seed_peers:
+                    await self._peers.greet_seed(address)
+            jitter = self._context.random.uniform(0.8, 1.2)
+            await curio.sleep(_NEIGHBOUR_PERIOD_SECONDS * jitter)
+
+    async def keep_announced(self) -> None:
+        """Write this daemon's record to the store whenever it changes."""
+        pause = _STORE_RETRY_SECONDS
+        while True:
+            self._must_announce.clear()
+            record = self._context.record
+            try:
+                await self._write(record)
+                pause = _STORE_RETRY_SECONDS
+                await self._must_announce.wait()
+            except StoreError as error:
+                _LOG.info("AnnouncementDelayed", extra={"why": str(error)})
+                await curio.sleep(pause * self._context.random.uniform(0.5, 1.5))
+                pause = min(2 * pause, _STORE_PERIOD_SECONDS)
+
+    async def keep_discovering(self) -> None:
+        """Read other daemons' announcements from the store, seldom."""
+        pause = 0.0
+        while True:
+            await curio.sleep(pause)
+            pause = _STORE_PERIOD_SECONDS * self._context.random.uniform(0.8, 1.2)
+            try:
+                listing = await self._context.store.list_changed(
+                    MEMBER_PREFIX, self._members_revision
+                )
+            except StoreError:
+                if not self._members_revision:
+                    pause = _STORE_RETRY_SECONDS
+                continue
+            self._members_revision = listing.revision
+            if self._context.discovered_at is None:
+                self._context.discovered_at = self._context.clock()
+            await self.take_records(read_members(listing), source="")
+
+    async def leave_store(self) -> None:
+        """Try once to write the last record to the store."""
+        try:
+            await self._write(self._context.record)
+        except StoreError as error:
+            _LOG.info("LeaveNotWritten", extra={"why": str(error)})
+
+    async def _write(self, record: MemberRecord) -> None:
+        key = member_key(record.daemon.name)
+        value = to_json(record)
+        stored = await self._context.store.read(key)
+        if stored is None:
+            await self._context.store.create(key, value)
+        elif stored.value != value:
+            await self._context.store.update(key, value, stored.revision)
+
+    async def _beat(self, link: Link) -> None:
+        assert link.peer is not None
+        name = link.peer.daemon.name
+        settings = self._context.settings.peers
+        sent_at = self._context.clock()
+        sent = HeartbeatSent(
+            self._context.view.revision, self._context.directory.digest
+        )
+        try:
+            answer = await link.call(sent, settings.suspect_seconds)
+            told = expect(answer, HeartbeatAnswered)
+        except FleetError:
+            if self._peers.silence(name) >= settings.suspect_seconds:
+                await link.close()
+            return
+        self._peers.note_heard(name)
+        self._take_views(name, told)
+        await self._shared.take_heartbeat(link, told, sent_at)
+        if told.members_digest != self._context.directory.digest:
+            await self._pull_records(link)
+
+    async def _pull_records(self, link: Link) -> None:
+        assert link.peer is not None
+        try:
+            answer = await link.call(RecordsAsked(), 2.0)
+            records = expect(answer, RecordsTold).records
+        except FleetError:
+            return
+        await self.take_records(records, link.peer.daemon.name)
+
+    def _take_views(self, name: str, told: HeartbeatAnswered) -> None:
+        for view in told.views:
+            self._context.picker.view_by_target[TargetId(name, view.name)] = TargetView(
+                limit=view.limit,
+                busy=view.busy,
+                is_ejected=view.is_ejected,
+                is_trial=view.is_trial,
+                log_latency=view.log_latency,
+            )
+
+    async def _check_silent(self) -> None:
+        """Have others look for neighbours that say nothing."""
+        bound = self._context.settings.peers.suspect_seconds
+        for name in self._peers.neighbours:
+            if not self._context.directory.is_live(name):
+                continue
+            if self._peers.silence(name) >= bound:
+                await curio.spawn(self._check_indirectly, name, daemon=True)
+
+    async def _check_indirectly(self, name: str) -> None:
+        count = self._context.settings.peers.indirect_checks
+        links = [
+            link
+            for link in self._peers.open_links()
+            if link.peer is not None and link.peer.daemon.name != name
+        ]
+        for link in self._context.random.sample(links, min(count, len(links))):
+            try:
+                told = await link.call(LookAsked(name), 2.0)
+                if expect(told, LookTold).is_live:
+                    return
+            except FleetError:
+                continue
+        record = self._context.directory.record_by_name.get(name)
+        if record is None or self._hears(name):
+            return
+        if self._context.directory.suspect(name):
+            _LOG.warning("MemberSuspected", extra={"member": name})
+            await self._peers.tell_all(SuspicionTold(record.daemon))
+
+    async def _answer_for_self(self, seen: MemberRecord) -> None:
+        """Speak up when an older word of this name, or a suspicion, is about."""
+        if seen.daemon.incarnation > self._context.daemon.incarnation:
+            _LOG.error("NameTaken", extra={"incarnation": seen.daemon.incarnation})
+            return
+        await self.publish()
+
+    def _hears(self, name: str) -> bool:
+        return self._peers.silence(name) < self._context.settings.peers.suspect_seconds
+
+    def _choose_neighbours(self) -> None:
+        own = self._context.settings.name
+        names = [n for n in self._context.directory.member_names() if n != own]
+        ranked = rank(own, names)
+        self._peers.set_neighbours(ranked[: self._context.settings.peers.fanout])
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -0,0 +1,159 @@
+"""What a daemon does with each message that opens a stream."""
+
+from __future__ import annotations
+
+import logging
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from bramleyglade_adapters.link.link import Link, LinkLost
+from bramleyglade_core.model.ejections import EjectionAsked
+from bramleyglade_core.model.exchange import AttemptOffered
+from bramleyglade_core.model.peer_messages import (
+    Acknowledged,
+    BatchAsked,
+    BatchTold,
+    HeartbeatAnswered,
+    HeartbeatSent,
+    LookAsked,
+    OutcomeAsked,
+    RecordsAsked,
+    RecordsTold,
+    SightAsked,
+    SuspicionTold,
+)
+from bramleyglade_core.model.shares import BookHandedOver, ShareAsked
+from bramleyglade_daemon.streams import GuardStream, LinkPoster
+
+if TYPE_CHECKING:
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.fleet.keepers import Keepers
+    from bramleyglade_daemon.fleet.membership import Membership
+    from bramleyglade_daemon.fleet.peers import Peers
+    from bramleyglade_daemon.fleet.shared_state import SharedState
+    from bramleyglade_daemon.guard.guard import Guard
+
+_LOG = logging.getLogger(__name__)
+
+
+class MessageHandler:
+    """Finds the handler of a message by its type.
+
+    Handlers run in the task of the link and never wait for long; what may
+    take time gets a task of its own.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        peers: Peers,
+        membership: Membership,
+        shared: SharedState,
+        keepers: Keepers,
+        guard: Guard,
+    ) -> None:
+        self._context = context
+        self._peers = peers
+        self._membership = membership
+        self._shared = shared
+        self._keepers = keepers
+        self._guard = guard
+
+    async def handle(self, link: Link, stream: int, message: Any) -> None:
+        """Take in the first message of a stream."""
+        assert link.peer is not None
+        self._peers.note_heard(link.peer.daemon.name)
+        await self._handle(message, link, stream)
+
+    @singledispatchmethod
+    async def _handle(self, message: Any, link: Link, stream: int) -> None:
+        # Late messages of a stream that has ended come here too.
+        _LOG.debug("MessageDropped", extra={"kind": type(message).__name__})
+
+    @_handle.register
+    async def _(self, message: HeartbeatSent, link: Link, stream: int) -> None:
+        self._context.view.hear(message.revision)
+        lease = self._context.lease
+        answer = HeartbeatAnswered(
+            revision=self._context.view.revision,
+            members_digest=self._context.directory.digest,
+            lease_seconds=lease.remaining_seconds,
+            is_extended=lease.is_extended,
+            views=self._guard.views(),
+        )
+        await self._answer(link, stream, answer)
+
+    @_handle.register
+    async def _(self, message: BatchAsked, link: Link, stream: int) -> None:
+        await self._answer(link, stream, self._shared.tell_batch(message.after))
+
+    @_handle.register
+    async def _(self, message: BatchTold, link: Link, stream: int) -> None:
+        if not await self._shared.take_batch(link, message):
+            await curio.spawn(self._shared.pull, link, daemon=True)
+
+    @_handle.register
+    async def _(self, message: RecordsAsked, link: Link, stream: int) -> None:
+        records = tuple(self._context.directory.record_by_name.values())
+        await self._answer(link, stream, RecordsTold(records))
+
+    @_handle.register
+    async def _(self, message: RecordsTold, link: Link, stream: int) -> None:
+        assert link.peer is not None
+        await self._membership.take_records(message.records, link.peer.daemon.name)
+
+    @_handle.register
+    async def _(self, message: SuspicionTold, link: Link, stream: int) -> None:
+        assert link.peer is not None
+        await self._membership.take_suspicion(message, link.peer.daemon.name)
+
+    @_handle.register
+    async def _(self, message: LookAsked, link: Link, stream: int) -> None:
+        await curio.spawn(self._look, message, link, stream, daemon=True)
+
+    @_handle.register
+    async def _(self, message: SightAsked, link: Link, stream: int) -> None:
+        await curio.spawn(self._tell_sight, link, stream, daemon=True)
+
+    @_handle.register
+    async def _(self, message: ShareAsked, link: Link, stream: int) -> None:
+        await self._answer(link, stream, self._keepers.answer_share(message))
+
+    @_handle.register
+    async def _(self, message: EjectionAsked, link: Link, stream: int) -> None:
+        await self._answer(link, stream, self._keepers.answer_ejection(message))
+
+    @_handle.register
+    async def _(self, message: BookHandedOver, link: Link, stream: int) -> None:
+        self._keepers.take_handed(message)
+        await self._answer(link, stream, Acknowledged())
+
+    @_handle.register
+    async def _(self, message: AttemptOffered, link: Link, stream: int) -> None:
+        await self._guard.accept(message, self._guard_stream(link, stream))
+
+    @_handle.register
+    async def _(self, message: OutcomeAsked, link: Link, stream: int) -> None:
+        guard_stream = self._guard_stream(link, stream)
+        tell = self._guard.outcomes.tell
+        await curio.spawn(tell, message.offered, guard_stream, daemon=True)
+
+    def _guard_stream(self, link: Link, stream: int) -> GuardStream:
+        window = self._context.settings.peers.window_bytes
+        guard_stream = GuardStream(LinkPoster(link, stream, is_answer=True), window)
+        link.accept_stream(stream, guard_stream)
+        return guard_stream
+
+    async def _look(self, asked: LookAsked, link: Link, stream: int) -> None:
+        await self._answer(link, stream, await self._membership.look(asked))
+
+    async def _tell_sight(self, link: Link, stream: int) -> None:
+        await self._answer(link, stream, await self._shared.tell_sight())
+
+    async def _answer(self, link: Link, stream: int, message: Any) -> None:
+        try:
+            await link.post(stream, True, message)
+        except LinkLost:
+            _LOG.debug("AnswerUndelivered", extra={"kind": type(message).__name__})
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/__init__.py
@@ -0,0 +1,1 @@
+"""The front: accepts callers, authenticates, admits, picks and retries."""
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -0,0 +1,317 @@
+"""The task of one caller's connection: one request after another."""
+
+from __future__ import annotations
+
+import logging
+import socket
+import struct
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from bramleyglade_adapters.http.server_connection import RequestHead, ServerConnection
+from bramleyglade_adapters.http.wire import (
+    end_to_end_headers,
+    has_left,
+    prepare_socket,
+)
+from bramleyglade_adapters.telemetry import traceparent_of
+from bramleyglade_core.decisions.admission import authenticate
+from bramleyglade_core.decisions.routing import check_headers, check_path
+from bramleyglade_core.model.errors import (
+    AttemptRefused,
+    BadRequest,
+    ErrorCode,
+    FleetError,
+)
+from bramleyglade_core.model.exchange import (
+    AnswerContinued,
+    AnswerEnded,
+    AnswerEvent,
+    AnswerStarted,
+    AttemptFailed,
+    Header,
+)
+from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_daemon.front.refusal import (
+    REQUEST_ID_HEADER,
+    outcome_headers,
+    refusal_answer,
+)
+from bramleyglade_daemon.front.request import (
+    AdmittedRequest,
+    BodyFeeder,
+    request_id_of,
+    target_headers,
+    timeout_of,
+)
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+    from bramleyglade_adapters.telemetry import Hop
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.front.dispatcher import Attempts, Dispatcher
+    from bramleyglade_daemon.front.team_limiter import TeamLimiter
+
+_QUICK_SECONDS = 0.05
+"""Time after which a request that waits is worth watching its caller for."""
+
+_OK = "ok"
+_LINGER_OFF = struct.pack("ii", 1, 0)
+
+_LOG = logging.getLogger(__name__)
+
+
+class Front:
+    """Serves callers' connections."""
+
+    def __init__(
+        self, context: Context, dispatcher: Dispatcher, limiter: TeamLimiter
+    ) -> None:
+        self.context = context
+        self.dispatcher = dispatcher
+        self.limiter = limiter
+        self.connections: set[CallerTask] = set()
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request under way."""
+        return sum(1 for connection in self.connections if connection.is_busy)
+
+    @property
+    def invites_to_leave(self) -> bool:
+        """Whether callers should go to another VM."""
+        return self.context.is_leaving or not self.context.is_zone_in_use
+
+    async def serve(self, sock: Socket, address: Any) -> None:
+        """Serve one connection until it ends."""
+        prepare_socket(sock)
+        task = CallerTask(self, sock)
+        if len(self.connections) >= self.context.settings.front.max_connections:
+            await task.turn_away()
+            return
+        self.connections.add(task)
+        try:
+            await task.run()
+        finally:
+            self.connections.discard(task)
+
+
+class CallerTask:
+    """One caller's connection."""
+
+    def __init__(self, front: Front, sock: Socket) -> None:
+        self._front = front
+        self._context = front.context
+        self._sock = sock
+        self._connection = ServerConnection(sock)
+        self.is_busy = False
+        """Whether a request is under way."""
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while (head := await self._receive_head()) is not None:
+                self.is_busy = True
+                await self._serve(head)
+                self.is_busy = False
+                if not self._connection.is_reusable or self._front.invites_to_leave:
+                    return
+        except BadRequest as error:
+            await self._refuse(error, "")
+        except (OSError, curio.TaskTimeout) as error:
+            _LOG.debug("CallerGone", extra={"why": str(error)})
+        finally:
+            self.is_busy = False
+
+    async def turn_away(self) -> None:
+        """Refuse a connection that is one too many."""
+        detail = "this VM has all the connections that it takes"
+        error = AttemptRefused(ErrorCode.DAEMON_FULL, detail, retry_after=1.0)
+        try:
+            async with curio.timeout_after(self._context.settings.front.head_seconds):
+                if await self._connection.receive_request() is not None:
+                    await self._refuse(error, "")
+        except (OSError, BadRequest, curio.TaskTimeout):
+            return
+
+    async def _receive_head(self) -> RequestHead | None:
+        settings = self._context.settings.front
+        wait = settings.head_seconds if self.is_busy else settings.idle_seconds
+        async with curio.timeout_after(wait):
+            return await self._connection.receive_request()
+
+    async def _serve(self, head: RequestHead) -> None:
+        started_at = self._context.clock()
+        request_id = request_id_of(head, self._context.random)
+        traceparent = head.header("traceparent")
+        if traceparent:
+            traceparent = traceparent_of({"traceparent": traceparent})
+        hop = self._context.telemetry.start_hop("front", traceparent, is_root=True)
+        code, verdict = _OK, Verdict.RAN
+        try:
+            request = await self._admit(head, request_id, hop)
+            await self._run(request, hop)
+        except FleetError as error:
+            code, verdict = error.code.value, error.verdict
+            await self._refuse(error, request_id)
+        except BaseException:
+            code = "caller-gone"
+            raise
+        finally:
+            hop.note("code", code)
+            hop.end()
+            seconds = self._context.clock() - started_at
+            self._context.telemetry.note_request(code, verdict.value, seconds)
+
+    async def _admit(
+        self, head: RequestHead, request_id: str, hop: Hop
+    ) -> AdmittedRequest:
+        check_headers(head.headers)
+        path = check_path(head.target)
+        configuration = self._context.configuration
+        route = configuration.router.match(head.method, path)
+        settings = self._context.settings.front
+        key = head.header(settings.key_header)
+        team = authenticate(configuration, route, key, self._context.lease.is_valid)
+        if team is not None:
+            await self._front.limiter.admit(team)
+        service = configuration.service_by_name.get(route.service)
+        if service is None:
+            raise AttemptRefused(ErrorCode.NO_TARGET, "the route's service is gone")
+        hop.note("route", route.name)
+        return AdmittedRequest(
+            head=head,
+            route=route,
+            service=service,
+            team=team.name if team is not None else "",
+            request_id=request_id,
+            deadline=self._context.clock() + timeout_of(head, service),
+            headers=target_headers(head, settings, request_id),
+        )
+
+    async def _run(self, request: AdmittedRequest, hop: Hop) -> None:
+        feeder = BodyFeeder(self._connection)
+        attempts = self._front.dispatcher.start(request, feeder, hop)
+        try:
+            while True:
+                failed = await self._try_once(attempts, request)
+                if failed is None:
+                    return
+                attempts.check_retry(failed)
+                await attempts.end()
+        finally:
+            await attempts.end()
+
+    async def _try_once(
+        self, attempts: Attempts, request: AdmittedRequest
+    ) -> AttemptFailed | None:
+        try:
+            await attempts.next_attempt()
+        except AttemptRefused as error:
+            if error.code is ErrorCode.NO_TARGET:
+                raise
+            return AttemptFailed(error.code, error.detail, error.verdict)
+        failed = await self._relay(attempts, request)
+        if failed is None:
+            return None
+        failed = await attempts.settle(failed)
+        if failed is None:
+            return await self._relay(attempts, request)
+        return failed
+
+    async def _relay(
+        self, attempts: Attempts, request: AdmittedRequest
+    ) -> AttemptFailed | None:
+        """Pass an answer on; return the failure if nothing went to the caller."""
+        event = await self._first_event(attempts, request)
+        if isinstance(event, AttemptFailed):
+            return event
+        assert isinstance(event, AnswerStarted)
+        attempts.note_answer()
+        # The head waits a moment for what follows: they go out in one write,
+        # and an answer that breaks off at once can still be tried again.
+        following = await curio.ignore_after(_QUICK_SECONDS, attempts.receive)
+        if isinstance(following, AttemptFailed):
+            return following
+        self._start_answer(event, request)
+        if following is None:
+            await self._connection.flush()
+            following = await attempts.receive()
+        await self._relay_rest(attempts, following)
+        return None
+
+    async def _relay_rest(self, attempts: Attempts, event: AnswerEvent) -> None:
+        while isinstance(event, AnswerContinued):
+            self._connection.continue_answer(event.data)
+            has_more = attempts.stream is not None and attempts.stream.has_more
+            if self._connection.must_flush or not has_more:
+                await self._connection.flush()
+            event = await attempts.receive()
+        if not isinstance(event, AnswerEnded):
+            await self._break_off()
+            return
+        self._connection.end_answer(self._clean_trailers(event.trailers))
+        await self._connection.flush()
+
+    async def _first_event(
+        self, attempts: Attempts, request: AdmittedRequest
+    ) -> AnswerEvent:
+        if request.head.has_body:
+            return await attempts.receive()
+        event = await curio.ignore_after(_QUICK_SECONDS, attempts.receive)
+        if event is not None:
+            return event
+        watcher = await curio.spawn(self._watch_caller, attempts)
+        try:
+            return await attempts.receive()
+        finally:
+            await watcher.cancel()
+
+    async def _watch_caller(self, attempts: Attempts) -> None:
+        stream = attempts.stream
+        if await has_left(self._sock) and stream is not None:
+            await stream.cancel()
+            await stream.deliver(
+                AttemptFailed(
+                    ErrorCode.ATTEMPT_CANCELLED,
+                    "the caller left",
+                    Verdict.MAY_HAVE_RUN,
+                )
+            )
+
+    def _start_answer(self, started: AnswerStarted, request: AdmittedRequest) -> None:
+        own = outcome_headers(Verdict.RAN, _OK, request.request_id)
+        names = {header.name for header in own}
+        theirs = end_to_end_headers(started.headers)
+        headers = [*(h for h in theirs if h.name not in names), *own]
+        if self._front.invites_to_leave:
+            headers.append(Header("connection", "close"))
+        self._connection.start_answer(started.status, headers)
+
+    def _clean_trailers(self, trailers: tuple[Header, ...]) -> list[Header]:
+        reserved = (self._context.settings.front.key_header, REQUEST_ID_HEADER)
+        return [h for h in trailers if h.name not in reserved]
+
+    async def _refuse(self, error: FleetError, request_id: str) -> None:
+        if not self._connection.can_answer:
+            await self._break_off()
+            return
+        answer = refusal_answer(error, request_id)
+        headers = list(answer.headers)
+        if self._front.invites_to_leave or isinstance(error, BadRequest):
+            headers.append(Header("connection", "close"))
+        try:
+            self._connection.start_answer(answer.status, headers)
+            self._connection.continue_answer(answer.body)
+            self._connection.end_answer()
+            await self._connection.flush()
+        except OSError as gone:
+            _LOG.debug("CallerGone", extra={"why": str(gone)})
+
+    async def _break_off(self) -> None:
+        """Reset the connection, so that no caller takes the answer for whole."""
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OFF)
+        await self._sock.close()
+        raise ConnectionAbortedError("the answer broke off")
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -0,0 +1,283 @@
+"""Attempts of one request: pick, offer, and retry where the verdict allows."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.link.link import LinkLost
+from bramleyglade_core.decisions.directory import RoutableTargets
+from bramleyglade_core.decisions.retry_budget import RetryBudget, may_retry
+from bramleyglade_core.model.errors import AttemptRefused, ErrorCode, FleetError
+from bramleyglade_core.model.exchange import (
+    AnswerEvent,
+    AttemptFailed,
+    AttemptOffered,
+)
+from bramleyglade_core.model.identifiers import AttemptId
+from bramleyglade_core.model.verdict import Verdict
+
+if TYPE_CHECKING:
+    from bramleyglade_adapters.telemetry import Hop
+    from bramleyglade_core.decisions.directory import Candidate
+    from bramleyglade_core.model.identifiers import TargetId
+    from bramleyglade_core.ports.streams import AttemptPort
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.front.guard_ports import GuardPorts
+    from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
+    from bramleyglade_daemon.streams import FrontStream
+
+_MISROUTED_CODES = frozenset(
+    {
+        ErrorCode.TARGET_EJECTED,
+        ErrorCode.TARGET_DRAINING,
+        ErrorCode.TARGET_UNKNOWN,
+        ErrorCode.ZONE_OUT,
+        ErrorCode.DAEMON_STOPPING,
+    }
+)
+"""Refusals that only show that this front's view was a moment old."""
+
+_MOST_MISROUTED = 8
+"""Refusals of that kind that one request puts up with."""
+
+_UNREACHABLE_CODES = frozenset({ErrorCode.PEER_LOST, ErrorCode.TARGET_REFUSED})
+
+_ASK_PAUSE_SECONDS = 0.3
+_GRACE_SECONDS = 0.25
+"""Time beyond the deadline in which the guard's own word may still come."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class Dispatcher:
+    """Sends admitted requests to targets."""
+
+    def __init__(self, context: Context, ports: GuardPorts) -> None:
+        self._context = context
+        self._ports = ports
+        self._routable = RoutableTargets(context.directory)
+        self._budget = RetryBudget(context.settings.front)
+        self._last_request = 0
+
+    def start(self, request: AdmittedRequest, feeder: BodyFeeder, hop: Hop) -> Attempts:
+        """Begin the attempts of a request."""
+        self._last_request += 1
+        self._budget.note_first_attempt()
+        return Attempts(self, request, feeder, hop, self._last_request)
+
+    @property
+    def context(self) -> Context:
+        """What all tasks of the daemon share."""
+        return self._context
+
+    def try_spend_retry(self) -> bool:
+        """Spend one retry of the budget; False if there is none."""
+        return self._budget.try_spend()
+
+    def port(self, candidate: Candidate) -> AttemptPort:
+        """Return the way to a target's guard."""
+        return self._ports.find(candidate.target.daemon)
+
+    def candidates(self, request: AdmittedRequest) -> list[Candidate]:
+        """Return the targets that a request may go to now."""
+        configuration = self._context.configuration
+        return self._routable.find(request.service, configuration)
+
+
+class Attempts:
+    """The attempts of one request, one after another."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        request: AdmittedRequest,
+        feeder: BodyFeeder,
+        hop: Hop,
+        number: int,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._context = dispatcher.context
+        self._request = request
+        self._feeder = feeder
+        self._hop = hop
+        self._number = number
+        self._count = 0
+        self._misrouted = 0
+        self._tried: set[TargetId] = set()
+        self._candidate: Candidate | None = None
+        self._upload: curio.Task | None = None
+        self._offered: AttemptOffered | None = None
+        self._port: AttemptPort | None = None
+        self.stream: FrontStream | None = None
+        """The stream of the attempt under way."""
+
+    async def next_attempt(self) -> None:
+        """Offer the request to another target.
+
+        Raises:
+            AttemptRefused: If there is none left to try.
+        """
+        candidate = self._pick()
+        self._candidate = candidate
+        self._tried.add(candidate.target)
+        self._context.picker.note_sent(candidate.target)
+        self._offered = self._make_offer(candidate)
+        self._port = self._dispatcher.port(candidate)
+        self._count += 1
+        try:
+            self.stream = await self._port.offer(self._offered)  # type: ignore[assignment]
+        except LinkLost as error:
+            self.stream = None
+            self._context.picker.note_ended(candidate.target)
+            self._note_unreachable()
+            raise AttemptRefused(error.code, error.detail, Verdict.NOT_RUN) from None
+        if self._request.head.has_body:
+            self._upload = await curio.spawn(self._feed, self.stream, daemon=True)
+
+    async def receive(self) -> AnswerEvent:
+        """Wait for the next part of the answer of the attempt under way."""
+        assert self.stream is not None
+        left = self._request.deadline + _GRACE_SECONDS - self._context.clock()
+        try:
+            async with curio.timeout_after(max(0.0, left)):
+                return await self.stream.receive()
+        except curio.TaskTimeout:
+            await self.stream.cancel()
+            return AttemptFailed(
+                ErrorCode.DEADLINE_EXCEEDED,
+                "the deadline passed",
+                Verdict.MAY_HAVE_RUN,
+            )
+
+    def note_answer(self) -> None:
+        """Take in that the target has answered this front."""
+        if self._candidate is not None:
+            self._context.picker.trust(self._candidate.target)
+
+    async def settle(self, failed: AttemptFailed) -> AttemptFailed | None:
+        """Find out what a lost link has left open.
+
+        Args:
+            failed: How the attempt ended.
+
+        Returns:
+            The failure, with what is now known; None if the guard is playing
+            back the answer on a new stream.
+        """
+        is_lost = failed.code is ErrorCode.PEER_LOST
+        if not is_lost or failed.verdict is not Verdict.MAY_HAVE_RUN:
+            return failed
+        if self._request.is_idempotent or self.stream is None:
+            return failed
+        await self._end_upload()
+        while self._context.clock() < self._request.deadline:
+            try:
+                self.stream = await self._ask_outcome()
+                return None
+            except LinkLost:
+                await curio.sleep(_ASK_PAUSE_SECONDS)
+            except AttemptRefused:
+                break
+        return failed
+
+    async def end(self) -> None:
+        """End the attempt under way; harmless if it has ended already."""
+        if self._candidate is not None and self.stream is not None:
+            self._context.picker.note_ended(self._candidate.target)
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            await stream.cancel()
+        await self._end_upload()
+
+    def check_retry(self, failed: AttemptFailed) -> None:
+        """Go on only if another attempt is safe and worth its cost.
+
+        Args:
+            failed: How the last attempt ended.
+
+        Raises:
+            AttemptRefused: If the caller is to be told of the failure instead.
+        """
+        if failed.code in _UNREACHABLE_CODES:
+            self._note_unreachable()
+        if failed.code is ErrorCode.TARGET_EJECTED and self._candidate is not None:
+            self._context.picker.mark_ejected(self._candidate.target)
+        if not self._may_retry(failed):
+            raise AttemptRefused(
+                failed.code, failed.detail, failed.verdict, failed.retry_after
+            )
+        self._hop.note("retry.after", failed.code.value)
+
+    def _may_retry(self, failed: AttemptFailed) -> bool:
+        is_idempotent = self._request.is_idempotent
+        if not may_retry(failed.verdict, is_idempotent, self._feeder.is_spent):
+            return False
+        if self._context.clock() >= self._request.deadline:
+            return False
+        if failed.verdict is Verdict.NOT_RUN and failed.code in _MISROUTED_CODES:
+            self._misrouted += 1
+            return self._misrouted <= _MOST_MISROUTED
+        made = self._count - self._misrouted
+        if made >= self._context.settings.front.max_attempts:
+            return False
+        return self._dispatcher.try_spend_retry()
+
+    def _pick(self) -> Candidate:
+        candidates = self._dispatcher.candidates(self._request)
+        now = self._context.clock()
+        candidate = self._context.picker.pick(candidates, self._tried, now)
+        if candidate is None:
+            raise AttemptRefused(
+                ErrorCode.NO_TARGET, "no target takes the request", retry_after=1.0
+            )
+        return candidate
+
+    def _make_offer(self, candidate: Candidate) -> AttemptOffered:
+        request = self._request
+        return AttemptOffered(
+            attempt=AttemptId(self._context.daemon, self._number, self._count),
+            target=candidate.target.name,
+            service=request.service.name,
+            team=request.team,
+            method=request.head.method,
+            path=request.head.target,
+            headers=request.headers,
+            deadline_seconds=max(0.0, request.deadline - self._context.clock()),
+            is_idempotent=request.is_idempotent,
+            has_body=request.head.has_body,
+            traceparent=self._hop.traceparent,
+        )
+
+    async def _ask_outcome(self) -> FrontStream:
+        assert self._port is not None
+        assert self._offered is not None
+        left = self._request.deadline - self._context.clock()
+        offered = replace(self._offered, headers=(), deadline_seconds=max(0.0, left))
+        return await self._port.ask_outcome(offered)  # type: ignore[return-value]
+
+    async def _feed(self, stream: FrontStream) -> None:
+        try:
+            await self._feeder.feed(stream)
+        except (FleetError, OSError) as error:
+            if self._feeder.error is not None:
+                await stream.cancel()
+                await stream.deliver(_caller_failed(str(error)))
+
+    async def _end_upload(self) -> None:
+        upload, self._upload = self._upload, None
+        if upload is not None:
+            await upload.cancel()
+
+    def _note_unreachable(self) -> None:
+        if self._candidate is not None:
+            size = len(self._dispatcher.candidates(self._request))
+            now = self._context.clock()
+            self._context.picker.avoid(self._candidate.target, size, now)
+
+
+def _caller_failed(detail: str) -> AttemptFailed:
+    return AttemptFailed(ErrorCode.ATTEMPT_CANCELLED, detail, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
@@ -0,0 +1,88 @@
+"""The way from the front to each guard, local or over a link."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.model.errors import AttemptRefused, ErrorCode
+from bramleyglade_core.model.peer_messages import OutcomeAsked
+from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_daemon.streams import FrontStream, LinkPoster
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.model.exchange import AttemptOffered
+    from bramleyglade_core.model.identifiers import DaemonId
+    from bramleyglade_core.ports.streams import AttemptPort
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.fleet.peers import Peers
+
+
+class RemoteGuardPort:
+    """Offers attempts to the guard of one incarnation of a peer."""
+
+    def __init__(self, peers: Peers, daemon: DaemonId, window_bytes: int) -> None:
+        self._peers = peers
+        self._daemon = daemon
+        self._window = window_bytes
+
+    async def offer(self, offered: AttemptOffered) -> FrontStream:
+        """Offer an attempt.
+
+        Raises:
+            LinkLost: With `not run`; nothing was sent.
+        """
+        link = await self._peers.reach(self._daemon.name)
+        return await self._open(link, offered)
+
+    async def ask_outcome(self, offered: AttemptOffered) -> FrontStream:
+        """Ask what became of an attempt.
+
+        Raises:
+            LinkLost: If the guard can't be reached now.
+            AttemptRefused: With `may have run` if the guard has restarted.
+        """
+        link = await self._peers.reach(self._daemon.name)
+        if link.peer is None or link.peer.daemon != self._daemon:
+            raise AttemptRefused(
+                ErrorCode.PEER_LOST,
+                "the guard has restarted and knows nothing of the attempt",
+                Verdict.MAY_HAVE_RUN,
+            )
+        return await self._open(link, OutcomeAsked(offered))
+
+    async def _open(self, link: Link, message: Any) -> FrontStream:
+        stream = FrontStream(_LatePoster(), self._window)
+        number = link.open_stream(stream)
+        stream.bind(LinkPoster(link, number, is_answer=False))
+        await link.post(number, False, message)
+        return stream
+
+
+class _LatePoster:
+    """Stands in until the stream has its number."""
+
+    async def post(self, message: Any) -> None:
+        """Drop the message; none is sent before the stream is bound."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class GuardPorts:
+    """Finds the port of a guard by its daemon's name."""
+
+    def __init__(self, context: Context, peers: Peers, local: AttemptPort) -> None:
+        self._context = context
+        self._peers = peers
+        self._local = local
+
+    def find(self, name: str) -> AttemptPort:
+        """Return the port of a guard, as the directory knows it now."""
+        if name == self._context.settings.name:
+            return self._local
+        record = self._context.directory.record_by_name[name]
+        window = self._context.settings.peers.window_bytes
+        return RemoteGuardPort(self._peers, record.daemon, window)
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/refusal.py
@@ -0,0 +1,114 @@
+"""How each error is told to a caller."""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.model.errors import (
+    AttemptRefused,
+    BadRequest,
+    ErrorCode,
+    FleetError,
+    KeyRefused,
+    RateExceeded,
+    RouteRefused,
+)
+from bramleyglade_core.model.exchange import Header
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.verdict import Verdict
+
+VERDICT_HEADER = "x-fleet-verdict"
+CODE_HEADER = "x-fleet-code"
+REQUEST_ID_HEADER = "x-request-id"
+
+_UNAUTHORISED_CODES = (ErrorCode.KEY_MISSING, ErrorCode.KEY_UNKNOWN)
+_GATEWAY_CODES = (
+    ErrorCode.TARGET_FAILED,
+    ErrorCode.ANSWER_TRUNCATED,
+    ErrorCode.ANSWER_MALFORMED,
+    ErrorCode.PEER_LOST,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalAnswer:
+    """Status, headers and body of a refusal."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+@singledispatch
+def status_of(error: FleetError) -> int:
+    """Return the HTTP status for an error."""
+    return 500
+
+
+@status_of.register
+def _(error: BadRequest) -> int:
+    return 400
+
+
+@status_of.register
+def _(error: RouteRefused) -> int:
+    return 405 if error.code is ErrorCode.METHOD_NOT_ALLOWED else 404
+
+
+@status_of.register
+def _(error: KeyRefused) -> int:
+    if error.code in _UNAUTHORISED_CODES:
+        return 401
+    return 403 if error.code is ErrorCode.KEY_NOT_ALLOWED else 503
+
+
+@status_of.register
+def _(error: RateExceeded) -> int:
+    return 429 if error.code is ErrorCode.RATE_EXCEEDED else 503
+
+
+@status_of.register
+def _(error: AttemptRefused) -> int:
+    if error.code is ErrorCode.DEADLINE_EXCEEDED:
+        return 504
+    return 502 if error.code in _GATEWAY_CODES else 503
+
+
+def refusal_answer(error: FleetError, request_id: str) -> RefusalAnswer:
+    """Make the answer that tells a caller of an error.
+
+    Args:
+        error: The error, with its code and verdict.
+        request_id: Identifier of the request; may be empty.
+
+    Returns:
+        The answer, with the verdict in a header and in the body.
+    """
+    plain = {
+        "code": error.code.value,
+        "detail": error.detail,
+        "verdict": error.verdict.value,
+        "request_id": request_id,
+    }
+    body = json.dumps(plain).encode()
+    headers = [
+        Header("content-type", "application/json"),
+        Header("content-length", str(len(body))),
+        *outcome_headers(error.verdict, error.code.value, request_id),
+    ]
+    if error.retry_after is not None:
+        headers.append(Header("retry-after", str(max(1, math.ceil(error.retry_after)))))
+    return RefusalAnswer(status_of(error), tuple(headers), body)
+
+
+def outcome_headers(verdict: Verdict, code: str, request_id: str) -> list[Header]:
+    """Return the headers that tell a caller what became of the request."""
+    headers = [Header(VERDICT_HEADER, verdict.value), Header(CODE_HEADER, code)]
+    if request_id:
+        headers.append(Header(REQUEST_ID_HEADER, request_id))
+    return headers
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -0,0 +1,145 @@
+"""A caller's request once its head has been read."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.http.server_connection import (
+    RequestHead,
+)
+from bramleyglade_adapters.http.wire import end_to_end_headers
+from bramleyglade_core.model.entities import Route, Service
+from bramleyglade_core.model.errors import BadRequest, ErrorCode
+from bramleyglade_core.model.exchange import Header
+from bramleyglade_daemon.front.refusal import REQUEST_ID_HEADER
+
+if TYPE_CHECKING:
+    import random
+
+    from bramleyglade_adapters.http.server_connection import (
+        ServerConnection,
+    )
+    from bramleyglade_core.model.settings import FrontSettings
+    from bramleyglade_daemon.streams import FrontStream
+
+DEADLINE_HEADER = "x-request-timeout-seconds"
+"""Header in which a caller may state a shorter deadline, in seconds."""
+
+REPLAY_BYTES = 65_536
+"""Largest body that is kept to be sent again with a retry."""
+
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_REQUEST_ID_BITS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class AdmittedRequest:
+    """A request that may be sent to a target."""
+
+    head: RequestHead
+    route: Route
+    service: Service
+    team: str
+    """Empty on routes open to all."""
+    request_id: str
+    deadline: float
+    """Time of this process's clock, in seconds."""
+    headers: tuple[Header, ...]
+    """Headers for the target, without the key."""
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the request may run twice."""
+        return self.route.is_idempotent(self.head.method)
+
+
+def request_id_of(head: RequestHead, random_source: random.Random) -> str:
+    """Take the caller's request identifier, or make one."""
+    given = head.header(REQUEST_ID_HEADER)
+    if _REQUEST_ID.fullmatch(given):
+        return given
+    return f"{random_source.getrandbits(_REQUEST_ID_BITS):016x}"
+
+
+def timeout_of(head: RequestHead, service: Service) -> float:
+    """Return the time that a request has, in seconds.
+
+    Raises:
+        BadRequest: If the caller states a deadline that is no positive number.
+    """
+    given = head.header(DEADLINE_HEADER)
+    if not given:
+        return service.timeout_seconds
+    try:
+        seconds = float(given)
+    except ValueError:
+        seconds = 0.0
+    if not 0.0 < seconds < float("inf"):
+        raise BadRequest(ErrorCode.BAD_REQUEST, f"{DEADLINE_HEADER} must be above 0")
+    return min(seconds, service.timeout_seconds)
+
+
+def target_headers(
+    head: RequestHead, settings: FrontSettings, request_id: str
+) -> tuple[Header, ...]:
+    """Return what a target may see of a request's headers.
+
+    The key is left out on every route, and so is what ends at this hop.
+    """
+    dropped = (settings.key_header, "expect", DEADLINE_HEADER, REQUEST_ID_HEADER)
+    kept = [h for h in end_to_end_headers(head.headers) if h.name not in dropped]
+    kept.append(Header(REQUEST_ID_HEADER, request_id))
+    return tuple(kept)
+
+
+class BodyFeeder:
+    """Feeds the caller's body to attempts; a small one can be fed again."""
+
+    def __init__(self, connection: ServerConnection) -> None:
+        self._connection = connection
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+        self._is_whole = False
+        self.is_spent = False
+        """Whether bytes were sent that can't be sent again."""
+        self.error: BadRequest | OSError | None = None
+        """What was wrong with the caller's side, if anything."""
+
+    async def feed(self, stream: FrontStream) -> None:
+        """Send the body to an attempt, once its guard wants it."""
+        await stream.wait_for_body_credit()
+        for data in self._kept:
+            await stream.send_body(data)
+        while not self._is_whole:
+            piece = await self._read()
+            if piece is None:
+                self._is_whole = True
+                break
+            self._keep(piece)
+            await stream.send_body(piece)
+        await stream.end_body()
+
+    async def _read(self) -> bytes | None:
+        try:
+            if self._connection.wants_continue:
+                await self._connection.send_continue()
+            return await self._connection.receive_body()
+        except (BadRequest, OSError) as error:
+            self.error = error
+            raise
+        except curio.CancelledError:
+            # A piece may be on its way out of the socket.
+            self.is_spent = True
+            raise
+
+    def _keep(self, data: bytes) -> None:
+        self._kept_bytes += len(data)
+        if self._kept_bytes > REPLAY_BYTES:
+            self._kept.clear()
+            self.is_spent = True
+        if not self.is_spent:
+            self._kept.append(data)
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -0,0 +1,158 @@
+"""This daemon's shares of the teams' rates."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_core.decisions.share_holding import ShareHolding
+from bramleyglade_core.model.errors import ErrorCode, KeyRefused, RateExceeded
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.entities import Team
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.fleet.keepers import Keepers
+
+_PERIOD_SECONDS = 0.05
+_QUIET_DEMAND = 0.01
+"""Requests a second below which a team's share is given back."""
+
+_LONGEST_WAITS = 3
+"""Answers of the keeper that one request waits for."""
+
+
+class _TeamShare:
+    """A team's holding with the requests that wait for it."""
+
+    def __init__(self, holding: ShareHolding) -> None:
+        self.holding = holding
+        self.waiting = 0
+        self.answered = curio.Event()
+
+
+class TeamLimiter:
+    """Admits requests within this daemon's shares and asks keepers for more."""
+
+    def __init__(self, context: Context, keepers: Keepers) -> None:
+        self._context = context
+        self._keepers = keepers
+        self._share_by_team: dict[str, _TeamShare] = {}
+
+    async def admit(self, team: Team) -> None:
+        """Spend one request of a team's rate.
+
+        Args:
+            team: The team as configured now.
+
+        Raises:
+            RateExceeded: If the team has used up its rate and burst.
+            KeyRefused: If this daemon's lease lapsed in the meantime.
+        """
+        share = self._share(team)
+        holding = share.holding
+        holding.demand.note(self._context.clock())
+        if self._try_spend(share, team):
+            return
+        wait = self._context.settings.limits.answer_wait_seconds
+        share.waiting += 1
+        try:
+            async with curio.ignore_after(wait):
+                for _ in range(_LONGEST_WAITS):
+                    if self._context.clock() < holding.dry_until:
+                        break
+                    await self._await_answer(share, team)
+                    if self._try_spend(share, team):
+                        return
+        finally:
+            share.waiting -= 1
+        raise self._refusal(share)
+
+    async def run(self) -> None:
+        """Renew shares when they are due, for ever."""
+        while True:
+            await curio.sleep(_PERIOD_SECONDS)
+            now = self._context.clock()
+            for name, share in list(self._share_by_team.items()):
+                team = self._context.configuration.team_by_name.get(name)
+                if team is None:
+                    del self._share_by_team[name]
+                elif not share.holding.is_asking and now >= share.holding.next_ask_at:
+                    await self._renew(name, share, team, now)
+
+    def extend(self, asked_at: float, until: float) -> None:
+        """Extend all shares with the lease while the store is away."""
+        for share in self._share_by_team.values():
+            share.holding.extend(asked_at, until)
+
+    async def release_all(self) -> None:
+        """Give all shares back, before this daemon leaves."""
+        for name, share in list(self._share_by_team.items()):
+            team = self._context.configuration.team_by_name.get(name)
+            share.holding.release()
+            if team is not None:
+                await self._ask(share, team)
+
+    def _share(self, team: Team) -> _TeamShare:
+        share = self._share_by_team.get(team.name)
+        if share is None:
+            limits = self._context.settings.limits
+            share = _TeamShare(ShareHolding(self._context.daemon, limits))
+            self._share_by_team[team.name] = share
+        return share
+
+    def _try_spend(self, share: _TeamShare, team: Team) -> bool:
+        if not self._context.lease.is_valid:
+            raise KeyRefused(
+                ErrorCode.CONFIGURATION_STALE, "this VM is cut off", retry_after=1.0
+            )
+        return share.holding.try_admit(team, self._context.clock())
+
+    async def _await_answer(self, share: _TeamShare, team: Team) -> None:
+        if not share.holding.is_asking:
+            await curio.spawn(self._ask, share, team, daemon=True)
+            await curio.sleep(0)
+        if share.holding.is_asking:
+            await share.answered.wait()
+
+    async def _renew(
+        self, name: str, share: _TeamShare, team: Team, now: float
+    ) -> None:
+        if share.holding.demand.rate(now) < _QUIET_DEMAND:
+            share.holding.release()
+            await self._ask(share, team)
+            del self._share_by_team[name]
+            return
+        await curio.spawn(self._ask, share, team, daemon=True)
+
+    async def _ask(self, share: _TeamShare, team: Team) -> None:
+        holding = share.holding
+        if holding.is_asking:
+            return
+        share.answered.clear()
+        asked = holding.ask(team, self._context.clock(), share.waiting)
+        granted = await self._keepers.ask_share(asked)
+        must_return = False
+        if granted is None:
+            holding.give_up_ask()
+        else:
+            must_return = holding.credit(granted, team, self._context.clock())
+        await share.answered.set()
+        if must_return:
+            await self._ask(share, team)
+
+    def _refusal(self, share: _TeamShare) -> RateExceeded:
+        now = self._context.clock()
+        holding = share.holding
+        wait = max(0.1, holding.dry_until - now)
+        if not holding.has_been_confirmed(now):
+            return RateExceeded(
+                ErrorCode.LIMIT_UNKNOWN,
+                "no share of the team's rate is to be had now",
+                retry_after=wait,
+            )
+        return RateExceeded(
+            ErrorCode.RATE_EXCEEDED,
+            "the team has used up its rate and burst",
+            retry_after=wait,
+        )
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/guard/announce_server.py
@@ -0,0 +1,126 @@
+"""The HTTP endpoint on which the targets of this VM announce themselves.
+
+`PUT /v1/targets/NAME` announces or renews, `DELETE` leaves, and `GET
+/v1/targets` and `GET /v1/status` tell operators what the guard sees.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from bramleyglade_adapters.http.server_connection import RequestHead, ServerConnection
+from bramleyglade_adapters.http.wire import prepare_socket
+from bramleyglade_adapters.structure import from_json, to_plain
+from bramleyglade_core.model.announcements import TargetAnnouncement
+from bramleyglade_core.model.errors import BadInput, BadRequest, ErrorCode
+from bramleyglade_core.model.exchange import Header
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.guard.guard import Guard
+
+_MAX_BODY_BYTES = 16_384
+_IDLE_SECONDS = 60.0
+_TARGETS = "/v1/targets"
+
+_LOG = logging.getLogger(__name__)
+
+
+class AnnounceServer:
+    """Answers targets and operators on the VM itself."""
+
+    def __init__(self, context: Context, guard: Guard) -> None:
+        self._context = context
+        self._guard = guard
+
+    async def serve(self, sock: Socket, address: Any) -> None:
+        """Serve one connection, request after request."""
+        prepare_socket(sock)
+        connection = ServerConnection(sock)
+        try:
+            while True:
+                async with curio.timeout_after(_IDLE_SECONDS):
+                    head = await connection.receive_request()
+                    if head is None:
+                        return
+                    body = await _read_body(connection)
+                await self._answer(connection, head, body)
+                if not connection.is_reusable:
+                    return
+        except (OSError, BadRequest, curio.TaskTimeout) as error:
+            _LOG.debug("AnnouncerGone", extra={"why": str(error)})
+
+    async def _answer(
+        self, connection: ServerConnection, head: RequestHead, body: bytes
+    ) -> None:
+        status, answer = 200, {}
+        try:
+            answer = await self._act(head, body)
+        except BadInput as error:
+            status = 404 if error.code is ErrorCode.TARGET_UNKNOWN else 400
+            answer = {"code": error.code.value, "detail": error.detail}
+        data = json.dumps(answer).encode()
+        headers = [
+            Header("content-type", "application/json"),
+            Header("content-length", str(len(data))),
+        ]
+        connection.start_answer(status, headers)
+        connection.continue_answer(data)
+        connection.end_answer()
+        await connection.flush()
+
+    async def _act(self, head: RequestHead, body: bytes) -> Any:
+        path = head.target.partition("?")[0]
+        if head.method == "GET" and path == _TARGETS:
+            return [to_plain(view) for view in self._guard.views()]
+        if head.method == "GET" and path == "/v1/status":
+            return self._status()
+        name = path.removeprefix(_TARGETS + "/")
+        if path == name or "/" in name or not name:
+            raise BadInput(ErrorCode.TARGET_UNKNOWN, f"nothing at {path}")
+        if head.method == "PUT":
+            code = ErrorCode.BAD_ANNOUNCEMENT
+            announced = from_json(TargetAnnouncement, body, code)
+            if announced.name != name:
+                raise BadInput(code, "the name differs from the one in the path")
+            await self._guard.announce(announced)
+            return {}
+        if head.method == "DELETE" and await self._guard.withdraw(name):
+            return {}
+        raise BadInput(ErrorCode.TARGET_UNKNOWN, f"no {head.method} for target {name}")
+
+    def _status(self) -> dict[str, Any]:
+        context = self._context
+        directory = context.directory
+        return {
+            "daemon": context.settings.name,
+            "incarnation": context.daemon.incarnation,
+            "zone": context.settings.zone,
+            "phase": context.phase.value,
+            "revision": context.view.revision,
+            "lease_seconds": round(context.lease.remaining_seconds, 3),
+            "is_lease_extended": context.lease.is_extended,
+            "members": sorted(directory.member_names()),
+            "live_members": sorted(directory.live_names()),
+            "running": self._guard.running,
+            "keeper_of_shards": sorted(
+                assignment.shard
+                for assignment in context.view.assignment_by_shard.values()
+                if assignment.keeper == context.daemon
+            ),
+        }
+
+
+async def _read_body(connection: ServerConnection) -> bytes:
+    pieces = bytearray()
+    while (data := await connection.receive_body()) is not None:
+        pieces += data
+        if len(pieces) > _MAX_BODY_BYTES:
+            raise BadRequest(ErrorCode.BAD_REQUEST, "the body is too large")
+    return bytes(pieces)
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/guard/ejector.py
@@ -0,0 +1,55 @@
+"""The task that asks for leave to eject ill targets and takes them back."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_daemon.guard.guard import target_id
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.ejections import EjectionAsked
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.fleet.keepers import Keepers
+    from bramleyglade_daemon.guard.guard import Guard
+    from bramleyglade_daemon.guard.target_runner import TargetRunner
+
+_PERIOD_SECONDS = 0.2
+
+_LOG = logging.getLogger(__name__)
+
+
+class Ejector:
+    """Asks the keeper of each ill target's service."""
+
+    def __init__(self, context: Context, guard: Guard, keepers: Keepers) -> None:
+        self._context = context
+        self._guard = guard
+        self._keepers = keepers
+
+    async def run(self) -> None:
+        """Look at all targets, for ever."""
+        while True:
+            await curio.sleep(_PERIOD_SECONDS)
+            for runner in list(self._guard.runner_by_name.values()):
+                asked = runner.health.ask_due(
+                    target_id(self._context, runner),
+                    self._context.daemon,
+                    runner.announced,
+                    self._context.clock(),
+                )
+                if asked is not None:
+                    await self._ask(runner, asked)
+
+    async def _ask(self, runner: TargetRunner, asked: EjectionAsked) -> None:
+        asked_at = self._context.clock()
+        is_granted = await self._keepers.ask_ejection(asked)
+        if is_granted is None:
+            return
+        if runner.health.take_answer(asked, is_granted, asked_at):
+            name = runner.announced.name
+            _LOG.warning("TargetEjected", extra={"target": name})
+            self._context.telemetry.note_event("TargetEjected")
+            await runner.eject()
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -0,0 +1,210 @@
+"""The guard: takes attempts for the targets of its VM."""
+
+from __future__ import annotations
+
+import logging
+import statistics
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_core.decisions.attempt_table import AttemptTable
+from bramleyglade_core.decisions.ejection import HealthPhase
+from bramleyglade_core.model.errors import AttemptRefused, ErrorCode, FleetError
+from bramleyglade_core.model.identifiers import TargetId
+from bramleyglade_daemon.guard.exchange import QueuedAttempt
+from bramleyglade_daemon.guard.outcomes import OutcomeDesk
+from bramleyglade_daemon.guard.target_runner import TargetRunner
+from bramleyglade_daemon.streams import FrontStream, GuardStream, join_locally
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from bramleyglade_core.model.announcements import TargetAnnouncement
+    from bramleyglade_core.model.exchange import AttemptOffered
+    from bramleyglade_core.model.peer_messages import TargetViewTold
+    from bramleyglade_daemon.fleet.context import Context
+
+_LOG = logging.getLogger(__name__)
+
+
+class Guard:
+    """Targets of this VM, and the attempts offered for them."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self.attempts = AttemptTable(context.settings.guard, context.clock)
+        self.outcomes = OutcomeDesk(self.attempts)
+        self.runner_by_name: dict[str, TargetRunner] = {}
+        self._renewed_at_by_name: dict[str, float] = {}
+        self.on_changed: Callable[[], Awaitable[None]] | None = None
+        """Called when the set of targets, or one of them, has changed."""
+
+    @property
+    def running(self) -> int:
+        """Exchanges that run or wait."""
+        return sum(runner.busy for runner in self.runner_by_name.values())
+
+    def views(self) -> tuple[TargetViewTold, ...]:
+        """Return load and health of all targets."""
+        return tuple(runner.view() for runner in self.runner_by_name.values())
+
+    async def accept(self, offered: AttemptOffered, stream: GuardStream) -> None:
+        """Take in an attempt; a refusal goes to the stream.
+
+        Args:
+            offered: The attempt.
+            stream: The guard's end of its streams.
+        """
+        deadline = self._context.clock() + offered.deadline_seconds
+        item = QueuedAttempt(offered, stream, deadline)
+        if self.attempts.is_full:
+            detail = "too many attempts to remember"
+            await _try_refuse(item, AttemptRefused(ErrorCode.DAEMON_FULL, detail))
+            return
+        if not self.attempts.accept(offered.attempt):
+            _LOG.warning("AttemptRepeated", extra={"attempt": str(offered.attempt)})
+            return
+        try:
+            await self._find_runner(offered).submit(item)
+        except AttemptRefused as error:
+            self.attempts.fence(offered.attempt)
+            await _try_refuse(item, error)
+
+    async def announce(self, announced: TargetAnnouncement) -> None:
+        """Take in a target's announcement or its renewal."""
+        self._renewed_at_by_name[announced.name] = self._context.clock()
+        runner = self.runner_by_name.get(announced.name)
+        if runner is None:
+            runner = TargetRunner(
+                announced,
+                self._context.settings,
+                self.attempts,
+                self.outcomes,
+                self._context.telemetry,
+                self._context.clock,
+            )
+            self.runner_by_name[announced.name] = runner
+        elif runner.announced == announced:
+            return
+        elif _is_restart(runner.announced, announced):
+            await runner.restart(announced)
+        else:
+            runner.announced = announced
+        if announced.is_draining:
+            await runner.close()
+        await self._tell_change("TargetAnnounced", announced.name)
+
+    async def drain(self, name: str) -> None:
+        """Send a target no new work."""
+        runner = self.runner_by_name.get(name)
+        if runner is not None and not runner.announced.is_draining:
+            await self.announce(replace(runner.announced, is_draining=True))
+
+    async def withdraw(self, name: str) -> bool:
+        """Take out a target that leaves; False if there is none of the name."""
+        runner = self.runner_by_name.pop(name, None)
+        self._renewed_at_by_name.pop(name, None)
+        if runner is None:
+            return False
+        await runner.close()
+        await self._tell_change("TargetWithdrawn", name)
+        return True
+
+    async def watch_targets(self) -> None:
+        """Look after the targets' renewals and overdue answers, for ever."""
+        while True:
+            await curio.sleep(_LOOK_SECONDS)
+            now = self._context.clock()
+            oldest = now - self._context.settings.guard.announcement_seconds
+            for name, renewed_at in list(self._renewed_at_by_name.items()):
+                if renewed_at < oldest:
+                    await self.withdraw(name)
+            for runner in self.runner_by_name.values():
+                runner.health.service_log_latency = self._service_log_latency(runner)
+                runner.look_for_overdue()
+
+    async def close(self) -> None:
+        """Give back all waiting work."""
+        for runner in self.runner_by_name.values():
+            await runner.close()
+
+    def _find_runner(self, offered: AttemptOffered) -> TargetRunner:
+        if self._context.is_leaving:
+            raise AttemptRefused(ErrorCode.DAEMON_STOPPING, "this VM is leaving")
+        if not self._context.is_zone_in_use:
+            raise AttemptRefused(ErrorCode.ZONE_OUT, "this zone is taken out")
+        runner = self.runner_by_name.get(offered.target)
+        if runner is None or runner.announced.service != offered.service:
+            raise AttemptRefused(ErrorCode.TARGET_UNKNOWN, "no such target here")
+        return runner
+
+    def _service_log_latency(self, runner: TargetRunner) -> float | None:
+        service = runner.announced.service
+        view_by_target = self._context.picker.view_by_target
+        others = []
+        for candidate in self._context.directory.candidates(service):
+            view = view_by_target.get(candidate.target)
+            is_own = candidate.target.daemon == self._context.settings.name
+            if not is_own and view is not None and view.log_latency is not None:
+                others.append(view.log_latency)
+        for other in self.runner_by_name.values():
+            latency = other.health.test.log_latency
+            if other is not runner and latency is not None:
+                if other.announced.service == service:
+                    others.append(latency)
+        return statistics.median(others) if others else None
+
+    async def _tell_change(self, event: str, name: str) -> None:
+        _LOG.info(event, extra={"target": name})
+        runners = self.runner_by_name.values()
+        self._context.targets = tuple(runner.announced for runner in runners)
+        if self.on_changed is not None:
+            await self.on_changed()
+
+
+_LOOK_SECONDS = 0.25
+"""Time between two looks at the targets."""
+
+
+class LocalGuardPort:
+    """Offers attempts to the guard in this process, by plain calls."""
+
+    def __init__(self, guard: Guard, window_bytes: int) -> None:
+        self._guard = guard
+        self._window = window_bytes
+
+    async def offer(self, offered: AttemptOffered) -> FrontStream:
+        """Offer an attempt."""
+        front, guard_end = join_locally(self._window)
+        await self._guard.accept(offered, guard_end)
+        return front
+
+    async def ask_outcome(self, offered: AttemptOffered) -> FrontStream:
+        """Ask what became of an attempt."""
+        front, guard_end = join_locally(self._window)
+        await curio.spawn(self._guard.outcomes.tell, offered, guard_end, daemon=True)
+        return front
+
+
+def target_id(context: Context, runner: TargetRunner) -> TargetId:
+    """Name a target of this VM for the whole fleet."""
+    return TargetId(context.settings.name, runner.announced.name)
+
+
+def is_out(runner: TargetRunner, now: float) -> bool:
+    """Tell whether a target is ejected or on trial."""
+    return runner.health.phase(now) is not HealthPhase.HEALTHY
+
+
+def _is_restart(known: TargetAnnouncement, announced: TargetAnnouncement) -> bool:
+    is_new_instance = known.instance != announced.instance
+    return is_new_instance or known.address != announced.address
+
+
+async def _try_refuse(item: QueuedAttempt, error: AttemptRefused) -> None:
+    try:
+        await item.refuse(error.code, error.detail, error.verdict, error.retry_after)
+    except FleetError:
+        _LOG.debug("FrontUnreachable", extra={"why": error.detail})
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/guard/outcomes.py
@@ -0,0 +1,68 @@
+"""Answers to fronts that ask what became of an attempt."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_core.decisions.attempt_table import AttemptPhase, AttemptRecord
+from bramleyglade_core.model.errors import ErrorCode
+from bramleyglade_core.model.exchange import AttemptFailed
+from bramleyglade_core.model.verdict import Verdict
+
+if TYPE_CHECKING:
+    from bramleyglade_core.decisions.attempt_table import AttemptTable
+    from bramleyglade_core.model.exchange import AttemptOffered
+    from bramleyglade_core.model.identifiers import AttemptId
+    from bramleyglade_daemon.streams import GuardStream
+
+
+class OutcomeDesk:
+    """Fences attempts that have not started and plays back kept answers."""
+
+    def __init__(self, attempts: AttemptTable) -> None:
+        self._attempts = attempts
+        self._settled_by_attempt: dict[AttemptId, curio.Event] = {}
+
+    async def note_settled(self, attempt: AttemptId) -> None:
+        """Wake those who wait for the end of an attempt."""
+        settled = self._settled_by_attempt.pop(attempt, None)
+        if settled is not None:
+            await settled.set()
+
+    async def tell(self, offered: AttemptOffered, stream: GuardStream) -> None:
+        """Tell a front what became of an attempt, once that is known.
+
+        Args:
+            offered: The attempt, as it was offered.
+            stream: Where the answer goes.
+        """
+        attempt = offered.attempt
+        if self._attempts.fence(attempt) is AttemptPhase.STARTED:
+            await self._wait_settled(attempt, offered.deadline_seconds)
+        record = self._attempts.find(attempt)
+        if record is None or record.phase is AttemptPhase.FENCED:
+            failed = AttemptFailed(
+                ErrorCode.ATTEMPT_FENCED, "the attempt never started", Verdict.NOT_RUN
+            )
+            await stream.send(failed)
+            return
+        await self._play_back(record, stream)
+
+    async def _wait_settled(self, attempt: AttemptId, seconds: float) -> None:
+        settled = self._settled_by_attempt.setdefault(attempt, curio.Event())
+        await curio.ignore_after(seconds, settled.wait)
+
+    async def _play_back(self, record: AttemptRecord, stream: GuardStream) -> None:
+        if record.answer is not None:
+            for event in record.answer:
+                await stream.send(event)
+            return
+        is_answered = record.phase is AttemptPhase.ANSWERED
+        failed = AttemptFailed(
+            ErrorCode.PEER_LOST,
+            "the answer was lost with the link",
+            Verdict.RAN if is_answered else Verdict.MAY_HAVE_RUN,
+        )
+        await stream.send(failed)
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/guard/report_reader.py
@@ -0,0 +1,81 @@
+"""Reads the load reports of targets, which lag and mislead: weak evidence."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.http.simple_client import (
+    AnswerLost,
+    RequestNotSent,
+    SimpleClient,
+)
+
+if TYPE_CHECKING:
+    from bramleyglade_daemon.guard.guard import Guard
+    from bramleyglade_daemon.guard.target_runner import TargetRunner
+
+_PERIOD_SECONDS = 1.0
+_TIMEOUT_SECONDS = 1.0
+_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a target says of itself."""
+
+    is_draining: bool
+    instance: str
+    """Changes when the target restarts; empty if it does not say."""
+
+
+class ReportReader:
+    """Asks each target in turn, once a period."""
+
+    def __init__(self, guard: Guard) -> None:
+        self._guard = guard
+
+    async def run(self) -> None:
+        """Read reports for ever."""
+        while True:
+            await curio.sleep(_PERIOD_SECONDS)
+            async with curio.TaskGroup() as group:
+                for runner in list(self._guard.runner_by_name.values()):
+                    if runner.announced.report_path:
+                        await group.spawn(self._look_at, runner)
+
+    async def _look_at(self, runner: TargetRunner) -> None:
+        report = await self._read(runner)
+        if report is None:
+            # A probe that fails says little beside requests that are answered.
+            is_quiet = runner.clock() - runner.last_traffic_at > _PERIOD_SECONDS
+            if is_quiet:
+                runner.health.note_failure(runner.clock())
+            return
+        if report.is_draining:
+            await self._guard.drain(runner.announced.name)
+        if report.instance and report.instance != runner.reported_instance:
+            if runner.reported_instance:
+                await runner.restart(runner.announced)
+            runner.reported_instance = report.instance
+
+    async def _read(self, runner: TargetRunner) -> LoadReport | None:
+        client = SimpleClient(runner.announced.address)
+        try:
+            answer = await client.request(
+                "GET", runner.announced.report_path, timeout_seconds=_TIMEOUT_SECONDS
+            )
+            if answer.status != _OK:
+                return None
+            plain = json.loads(answer.body)
+            return LoadReport(
+                is_draining=plain.get("is_draining") is True,
+                instance=str(plain.get("instance", "")),
+            )
+        except (RequestNotSent, AnswerLost, ValueError, AttributeError):
+            return None
+        finally:
+            await client.close()
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -0,0 +1,309 @@
+"""All work of one target: its queue, its slots and its health."""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_core.decisions.ejection import HealthPhase
+from bramleyglade_core.decisions.fair_queue import FairQueue
+from bramleyglade_core.decisions.ramp import ConcurrencyRamp
+from bramleyglade_core.model.errors import AttemptRefused, ErrorCode, FleetError
+from bramleyglade_core.model.peer_messages import TargetViewTold
+from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_daemon.guard.target_health import TargetHealth
+from bramleyglade_daemon.guard.target_worker import TargetWorker
+
+if TYPE_CHECKING:
+    from bramleyglade_adapters.telemetry import Hop, Telemetry
+    from bramleyglade_core.decisions.attempt_table import AttemptTable
+    from bramleyglade_core.model.announcements import TargetAnnouncement
+    from bramleyglade_core.model.settings import DaemonSettings
+    from bramleyglade_core.ports.clock import Clock
+    from bramleyglade_daemon.guard.exchange import AnswerRecorder, QueuedAttempt
+    from bramleyglade_daemon.guard.outcomes import OutcomeDesk
+
+_SERVICE_TIME_WEIGHT = 0.1
+"""Weight of a new exchange in the smoothed time that a slot is taken."""
+
+_TRIALS_AT_ONCE = 1
+"""Requests that a target on trial runs at once."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class TargetRunner:
+    """Counts the slots of a target; the only place that sends it work."""
+
+    def __init__(
+        self,
+        announced: TargetAnnouncement,
+        settings: DaemonSettings,
+        attempts: AttemptTable,
+        outcomes: OutcomeDesk,
+        telemetry: Telemetry,
+        clock: Clock,
+    ) -> None:
+        self.announced = announced
+        self.settings = settings.guard
+        self.attempts = attempts
+        self.clock = clock
+        self.health = TargetHealth(settings.health)
+        self.ramp = ConcurrencyRamp(announced.slots)
+        self._outcomes = outcomes
+        self._telemetry = telemetry
+        self._queue: FairQueue[QueuedAttempt] = FairQueue(
+            settings.guard.queue_per_target
+        )
+        self._running: set[TargetWorker] = set()
+        self._idle: list[TargetWorker] = []
+        self._seconds_per_exchange: float | None = None
+        self._overdue_level_by_worker: dict[TargetWorker, int] = {}
+        self.last_traffic_at = -math.inf
+        self.reported_instance = ""
+
+    @property
+    def busy(self) -> int:
+        """Requests that run or wait."""
+        return len(self._running) + len(self._queue)
+
+    @property
+    def running(self) -> int:
+        """Requests that run."""
+        return len(self._running)
+
+    def view(self) -> TargetViewTold:
+        """Return what fronts may know of the target."""
+        phase = self.health.phase(self.clock())
+        return TargetViewTold(
+            name=self.announced.name,
+            service=self.announced.service,
+            limit=self._limit(),
+            busy=self.busy,
+            is_ejected=phase is HealthPhase.EJECTED,
+            is_trial=phase is HealthPhase.TRIAL,
+            log_latency=self.health.test.log_latency,
+        )
+
+    def start_hop(self, item: QueuedAttempt) -> Hop:
+        """Start the span of an exchange with the target."""
+        return self._telemetry.start_hop("target", item.offered.traceparent)
+
+    async def submit(self, item: QueuedAttempt) -> None:
+        """Take in an attempt, or refuse it at once if it can't be served in time.
+
+        Raises:
+            AttemptRefused: With `not run`.
+        """
+        self._check_phase(item)
+        self._check_wait(item)
+        victim = self._queue.push(item.offered.team, item)
+        if victim is item:
+            raise AttemptRefused(
+                ErrorCode.QUEUE_FULL, "the target's queue is full", retry_after=1.0
+            )
+        if victim is not None:
+            await self._refuse(victim, ErrorCode.QUEUE_FULL, "others are served first")
+        item.stream.on_abandoned = lambda: self._abandon(item)
+        await self.start_work()
+
+    async def next_item(self, worker: TargetWorker) -> QueuedAttempt | None:
+        """Wait for the next attempt for an idle connection.
+
+        Args:
+            worker: The connection's task.
+
+        Returns:
+            The attempt, or None if the connection is no longer needed.
+        """
+        item = await self._take_item()
+        if item is not None:
+            self._running.add(worker)
+            await self.start_work()
+            return item
+        self._idle.append(worker)
+        try:
+            async with curio.timeout_after(self.settings.idle_close_seconds):
+                return await worker.mailbox.get()
+        except curio.TaskTimeout:
+            if worker in self._idle:
+                self._idle.remove(worker)
+                return None
+            return await worker.mailbox.get()
+
+    def note_finished(self, worker: TargetWorker) -> None:
+        """Free the slot of a worker."""
+        self._running.discard(worker)
+        self._overdue_level_by_worker.pop(worker, None)
+
+    def note_gone(self, worker: TargetWorker) -> None:
+        """Forget a worker whose task ends."""
+        self._running.discard(worker)
+        if worker in self._idle:
+            self._idle.remove(worker)
+
+    def note_head(self, seconds: float, is_error: bool) -> None:
+        """Take in that the target has answered.
+
+        Args:
+            seconds: Time from the first byte to the answer's head.
+            is_error: Whether the status says that the target failed.
+        """
+        now = self.clock()
+        self.last_traffic_at = now
+        if is_error:
+            self.health.note_failure(now)
+            return
+        self.health.note_answer(seconds, now)
+        self.ramp.note_good(seconds)
+
+    def note_trouble(
+        self, code: ErrorCode, has_started: bool, head_seconds: float | None
+    ) -> None:
+        """Take in that an exchange failed.
+
+        Args:
+            code: How it failed.
+            has_started: Whether bytes went to the target.
+            head_seconds: Time to the answer's head; None if none came.
+        """
+        if code is ErrorCode.DEADLINE_EXCEEDED and head_seconds is not None:
+            return  # A long answer is not the target's failure.
+        if not has_started and code is not ErrorCode.TARGET_REFUSED:
+            return
+        self.health.note_failure(self.clock())
+        self.ramp.note_bad()
+
+    def note_outcome(self, item: QueuedAttempt, code: str, seconds: float) -> None:
+        """Count an exchange that has ended."""
+        self._telemetry.note_attempt(item.offered.service, code, seconds)
+        if self._seconds_per_exchange is None:
+            self._seconds_per_exchange = seconds
+        change = seconds - self._seconds_per_exchange
+        self._seconds_per_exchange += _SERVICE_TIME_WEIGHT * change
+
+    async def keep_answer(self, item: QueuedAttempt, recorder: AnswerRecorder) -> None:
+        """Keep the whole answer for a front that may ask for it."""
+        attempt = item.offered.attempt
+        self.attempts.keep_answer(attempt, recorder.answer, recorder.size)
+        await self._outcomes.note_settled(attempt)
+
+    async def note_lost_answer(self, item: QueuedAttempt) -> None:
+        """Note that a started attempt has ended without a whole answer."""
+        attempt = item.offered.attempt
+        self.attempts.break_off(attempt)
+        await self._outcomes.note_settled(attempt)
+
+    def look_for_overdue(self) -> None:
+        """Count exchanges that should long have been answered as evidence."""
+        typical = self.health.service_log_latency
+        if typical is None:
+            typical = self.health.test.log_latency
+        if typical is None:
+            return
+        now = self.clock()
+        for worker in self._running:
+            if worker.sent_at is None or worker.head_seconds is not None:
+                continue
+            age = now - worker.sent_at
+            level = self._overdue_level_by_worker.get(worker, 2)
+            if age > math.exp(typical) * 2**level:
+                self._overdue_level_by_worker[worker] = level + 1
+                self.health.test.note_overdue(age, typical)
+
+    async def eject(self) -> None:
+        """Give back all waiting work, to be tried elsewhere."""
+        for item in self._queue.clear():
+            await self._refuse(item, ErrorCode.TARGET_EJECTED, "the target is ejected")
+
+    async def restart(self, announced: TargetAnnouncement) -> None:
+        """Begin a cold start with a new instance of the target."""
+        self.announced = announced
+        self.ramp = ConcurrencyRamp(announced.slots)
+        self.health.restart()
+
+    async def close(self) -> None:
+        """Give back waiting work and close idle connections."""
+        for item in self._queue.clear():
+            await self._refuse(item, ErrorCode.TARGET_DRAINING, "the target leaves")
+        for worker in list(self._idle):
+            if worker.task is not None:
+                await worker.task.cancel(blocking=False)
+
+    def _limit(self) -> int:
+        if self.health.phase(self.clock()) is HealthPhase.TRIAL:
+            return _TRIALS_AT_ONCE
+        return min(self.ramp.limit, self.announced.connections)
+
+    def _check_phase(self, item: QueuedAttempt) -> None:
+        if self.announced.is_draining:
+            raise AttemptRefused(ErrorCode.TARGET_DRAINING, "the target is leaving")
+        phase = self.health.phase(self.clock())
+        is_on_trial = phase is HealthPhase.TRIAL and item.offered.is_idempotent
+        if phase is HealthPhase.HEALTHY or (is_on_trial and self.busy == 0):
+            return
+        raise AttemptRefused(ErrorCode.TARGET_EJECTED, "the target is ejected")
+
+    def _check_wait(self, item: QueuedAttempt) -> None:
+        """Refuse what would wait past its deadline, by Little's law."""
+        seconds = self._seconds_per_exchange
+        if seconds is None or not len(self._queue):
+            return
+        wait = seconds * (1 + len(self._queue) / self._limit())
+        if self.clock() + wait > item.deadline:
+            raise AttemptRefused(
+                ErrorCode.DEADLINE_TOO_SHORT,
+                "the queue is too long for the deadline",
+                retry_after=wait,
+            )
+
+    async def start_work(self) -> None:
+        """Hand waiting attempts to connections while slots are free."""
+        while len(self._running) < self._limit():
+            item = await self._take_item()
+            if item is None:
+                return
+            if self._idle:
+                worker = self._idle.pop()
+                self._running.add(worker)
+                await worker.mailbox.put(item)
+            else:
+                worker = TargetWorker(self)
+                self._running.add(worker)
+                worker.task = await curio.spawn(worker.run, item, daemon=True)
+
+    async def _take_item(self) -> QueuedAttempt | None:
+        """Take the next attempt that can still be served, if a slot is free."""
+        while len(self._running) < self._limit():
+            item = self._queue.pop()
+            if item is None:
+                return None
+            if item.stream.is_abandoned:
+                self.attempts.fence(item.offered.attempt)
+                continue
+            if self.clock() >= item.deadline:
+                code = ErrorCode.DEADLINE_EXCEEDED
+                await self._refuse(item, code, "it waited past its deadline")
+                continue
+            return item
+        return None
+
+    async def _refuse(self, item: QueuedAttempt, code: ErrorCode, detail: str) -> None:
+        self.attempts.fence(item.offered.attempt)
+        try:
+            await item.refuse(code, detail, Verdict.NOT_RUN)
+        except FleetError as error:
+            _LOG.debug("FrontUnreachable", extra={"why": str(error)})
+
+    async def _abandon(self, item: QueuedAttempt) -> None:
+        if self._queue.remove(item.offered.team, item):
+            self.attempts.fence(item.offered.attempt)
+            return
+        if item.stream.is_link_lost and not item.offered.is_idempotent:
+            return
+        for worker in list(self._running):
+            if worker.current is item:
+                await worker.cancel_current()
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -0,0 +1,235 @@
+"""The task of one connection to a target: one exchange after another."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.http.client_connection import ClientConnection
+from bramleyglade_adapters.http.wire import end_to_end_headers
+from bramleyglade_core.model.errors import AttemptRefused, ErrorCode, FleetError
+from bramleyglade_core.model.exchange import (
+    AnswerEnded,
+    AnswerEvent,
+    AnswerStarted,
+    Header,
+)
+from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_daemon.guard.exchange import AnswerRecorder
+
+if TYPE_CHECKING:
+    from bramleyglade_daemon.guard.exchange import QueuedAttempt
+    from bramleyglade_daemon.guard.target_runner import TargetRunner
+
+_CONNECT_SECONDS = 2.0
+"""Longest wait for a connection to a target on this VM."""
+
+_SERVER_ERROR = 500
+
+_LOG = logging.getLogger(__name__)
+
+
+class TargetWorker:
+    """Runs exchanges over one connection, which it opens when it needs one."""
+
+    def __init__(self, runner: TargetRunner) -> None:
+        self._runner = runner
+        self._connection: ClientConnection | None = None
+        self._idle_since = 0.0
+        self.mailbox = curio.Queue()
+        self.task: curio.Task | None = None
+        self.current: QueuedAttempt | None = None
+        self.sent_at: float | None = None
+        """When the current exchange sent its first byte; None before."""
+        self.head_seconds: float | None = None
+        """Time to the head of the current answer; None before."""
+        self.is_cancelled = False
+
+    async def run(self, item: QueuedAttempt) -> None:
+        """Run an attempt and then others, until there are none for a while."""
+        work: QueuedAttempt | None = item
+        try:
+            while work is not None:
+                self.current = work
+                try:
+                    await self._serve(work)
+                finally:
+                    self.current = None
+                    self.sent_at = None
+                    self._runner.note_finished(self)
+                if self.is_cancelled:
+                    return
+                work = await self._runner.next_item(self)
+        finally:
+            self._runner.note_gone(self)
+            await self._drop_connection()
+            await self._runner.start_work()
+
+    async def cancel_current(self) -> None:
+        """Break off the current exchange; its connection is closed."""
+        self.is_cancelled = True
+        if self.task is not None:
+            await self.task.cancel(blocking=False)
+
+    async def _serve(self, item: QueuedAttempt) -> None:
+        hop = self._runner.start_hop(item)
+        started_at = self._runner.clock()
+        code = "ok"
+        try:
+            async with curio.timeout_after(max(0.0, item.deadline - started_at)):
+                await self._exchange(item)
+        except curio.TaskCancelled:
+            code = ErrorCode.ATTEMPT_CANCELLED.value
+            await self._runner.note_lost_answer(item)
+            raise
+        except curio.TaskTimeout:
+            code = ErrorCode.DEADLINE_EXCEEDED.value
+            await self._fail(item, ErrorCode.DEADLINE_EXCEEDED, "the deadline passed")
+        except FleetError as error:
+            code = error.code.value
+            await self._fail(item, error.code, error.detail)
+        except (OSError, AssertionError) as error:
+            code = ErrorCode.TARGET_FAILED.value
+            await self._fail(item, ErrorCode.TARGET_FAILED, str(error))
+        finally:
+            hop.note("code", code)
+            hop.end()
+            seconds = self._runner.clock() - started_at
+            self._runner.note_outcome(item, code, seconds)
+
+    async def _exchange(self, item: QueuedAttempt) -> None:
+        connection = await self._connect(item)
+        self._check_before_first_byte(item)
+        self.sent_at = self._runner.clock()
+        self.head_seconds = None
+        offered = item.offered
+        headers = self._request_headers(item)
+        await connection.send_head(
+            offered.method, offered.path, headers, offered.has_body
+        )
+        if not offered.has_body:
+            await self._relay_answer(connection, item)
+            return
+        await item.stream.open_body()
+        upload = await curio.spawn(self._upload, connection, item)
+        try:
+            await self._relay_answer(connection, item, upload)
+        finally:
+            await upload.cancel()
+
+    async def _connect(self, item: QueuedAttempt) -> ClientConnection:
+        if self._connection is not None:
+            idle = self._runner.clock() - self._idle_since
+            is_risky = idle > self._runner.settings.idle_bound_seconds
+            if self._connection.is_fit() and (
+                not is_risky or item.offered.is_idempotent
+            ):
+                return self._connection
+            await self._drop_connection()
+        address = self._runner.announced.address
+        try:
+            self._connection = await ClientConnection.open(address, _CONNECT_SECONDS)
+        except (OSError, curio.TaskTimeout) as error:
+            raise AttemptRefused(
+                ErrorCode.TARGET_REFUSED, f"no connection to the target: {error}"
+            ) from None
+        return self._connection
+
+    def _check_before_first_byte(self, item: QueuedAttempt) -> None:
+        """Look again, as this process may have been paused since the last look."""
+        if self._runner.clock() >= item.deadline:
+            raise AttemptRefused(ErrorCode.DEADLINE_EXCEEDED, "too late to begin")
+        if item.stream.is_abandoned:
+            raise AttemptRefused(ErrorCode.ATTEMPT_CANCELLED, "the front gave up")
+        if not self._runner.attempts.start(item.offered.attempt):
+            raise AttemptRefused(ErrorCode.ATTEMPT_FENCED, "the attempt was fenced")
+
+    def _request_headers(self, item: QueuedAttempt) -> list[Header]:
+        left = max(0.0, item.deadline - self._runner.clock())
+        headers = list(end_to_end_headers(item.offered.headers))
+        headers.append(Header("x-fleet-deadline-seconds", f"{left:.3f}"))
+        if item.offered.has_body:
+            if not any(header.name == "content-length" for header in headers):
+                headers.append(Header("transfer-encoding", "chunked"))
+        return headers
+
+    async def _upload(self, connection: ClientConnection, item: QueuedAttempt) -> None:
+        try:
+            while (data := await item.stream.receive()) is not None:
+                await connection.send_body(data)
+            await connection.end_body()
+        except OSError:
+            # The target may have answered early; the reader finds out.
+            return
+
+    async def _relay_answer(
+        self,
+        connection: ClientConnection,
+        item: QueuedAttempt,
+        upload: curio.Task | None = None,
+    ) -> None:
+        recorder = AnswerRecorder(self._runner.settings)
+        is_recorded = not item.offered.is_idempotent
+        while True:
+            part = await connection.receive()
+            if isinstance(part, AnswerStarted):
+                self._note_head(part)
+                part = AnswerStarted(part.status, end_to_end_headers(part.headers))
+            if is_recorded:
+                recorder.note(part)
+            if not isinstance(part, AnswerEnded):
+                await self._pass_on(item, part)
+                continue
+            if is_recorded:
+                await self._runner.keep_answer(item, recorder)
+            await self._release(connection, upload)
+            await self._pass_on(item, part)
+            return
+
+    async def _pass_on(self, item: QueuedAttempt, event: AnswerEvent) -> None:
+        if item.stream.is_link_lost and not item.offered.is_idempotent:
+            return  # The front will ask for the answer over a new link.
+        try:
+            await item.stream.send(event)
+        except FleetError:
+            if not item.stream.is_link_lost or item.offered.is_idempotent:
+                raise
+
+    def _note_head(self, started: AnswerStarted) -> None:
+        assert self.sent_at is not None
+        self.head_seconds = self._runner.clock() - self.sent_at
+        self._runner.note_head(self.head_seconds, started.status >= _SERVER_ERROR)
+
+    async def _release(
+        self, connection: ClientConnection, upload: curio.Task | None
+    ) -> None:
+        if upload is not None and not upload.terminated:
+            await upload.cancel()
+        if connection.finish_exchange():
+            self._idle_since = self._runner.clock()
+        else:
+            await self._drop_connection()
+
+    async def _fail(self, item: QueuedAttempt, code: ErrorCode, detail: str) -> None:
+        has_started = self.sent_at is not None
+        await self._drop_connection()
+        if has_started:
+            verdict = Verdict.MAY_HAVE_RUN
+        else:
+            self._runner.attempts.fence(item.offered.attempt)
+            verdict = Verdict.NOT_RUN
+        if code is not ErrorCode.ATTEMPT_CANCELLED:
+            self._runner.note_trouble(code, has_started, self.head_seconds)
+        if has_started:
+            await self._runner.note_lost_answer(item)
+        try:
+            await item.refuse(code, detail, verdict)
+        except FleetError as error:
+            _LOG.debug("FrontUnreachable", extra={"why": str(error)})
+
+    async def _drop_connection(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -0,0 +1,69 @@
+"""The `bramleygladed` program."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import random
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import curio
+import fire
+
+from bramleyglade_adapters.logs import set_up_logs
+from bramleyglade_adapters.settings_file import load_settings
+from bramleyglade_adapters.store.http_store import HttpStore
+from bramleyglade_adapters.telemetry import Telemetry
+from bramleyglade_core.model.errors import BadInput
+from bramleyglade_daemon.daemon import Daemon
+from bramleyglade_daemon.fleet.context import Context
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.settings import DaemonSettings
+
+_EXIT_BAD_SETTINGS = 2
+_YOUNG_OBJECTS = 50_000
+"""Allocations between two collections of the youngest generation."""
+
+_LOG = logging.getLogger(__name__)
+
+
+def run(settings_path: str) -> None:
+    """Run the daemon of this VM until it is told to stop.
+
+    Args:
+        settings_path: The settings file, JSON with comments.
+    """
+    try:
+        settings = load_settings(settings_path)
+    except BadInput as error:
+        print(f"bramleygladed: {error}", file=sys.stderr)
+        sys.exit(_EXIT_BAD_SETTINGS)
+    set_up_logs(settings.telemetry.log_level)
+    curio.run(serve, settings)
+
+
+async def serve(settings: DaemonSettings) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then stop it gracefully."""
+    telemetry = Telemetry(settings, random.Random())
+    store = HttpStore(settings.store_address)
+    daemon = Daemon(Context(settings, store, telemetry))
+    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        await daemon.start()
+        # What is alive now lives for ever; pauses grow with what is scanned.
+        gc.freeze()
+        gc.set_threshold(_YOUNG_OBJECTS, 20, 100)
+        await signals.get()
+        await daemon.stop()
+    telemetry.shut_down()
+
+
+def main() -> None:
+    """Run the program with the arguments of the command line."""
+    fire.Fire(run, name="bramleygladed")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/bramleyglade_standins/memory_store.py
@@ -0,0 +1,114 @@
+"""The platform's object store in memory, with faults on demand."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import curio
+
+from bramleyglade_core.model.errors import (
+    ErrorCode,
+    StoreAnswerLost,
+    StoreUnavailable,
+    VersionConflict,
+)
+from bramleyglade_core.ports.store import Listing, StoredObject
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFaults:
+    """What is wrong with the store now."""
+
+    is_away: bool = False
+    delay_seconds: float = 0.0
+    lost_answers: int = 0
+    """Writes that take effect, but whose answers get lost."""
+    stale_by: int = 0
+    """Revisions by which reads lag behind."""
+
+
+class MemoryStore:
+    """Implements the `ObjectStore` port; also behind the stand-in server."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._history: list[StoredObject] = []
+        self._changed = curio.Event()
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Read one object; None if there is none."""
+        await self._suffer()
+        return self._newest(key, self._read_revision)
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Create an object and return the revision."""
+        await self._suffer()
+        if self._newest(key, self.revision) is not None:
+            raise VersionConflict(ErrorCode.VERSION_CONFLICT, f"{key} exists")
+        return await self._write(key, value)
+
+    async def update(self, key: str, value: bytes, revision: int) -> int:
+        """Replace an object that still has this revision."""
+        await self._suffer()
+        newest = self._newest(key, self.revision)
+        if newest is None or newest.revision != revision:
+            raise VersionConflict(ErrorCode.VERSION_CONFLICT, f"{key} has changed")
+        return await self._write(key, value)
+
+    async def list_changed(self, prefix: str, after: int) -> Listing:
+        """List the objects under a prefix that changed after a revision."""
+        await self._suffer()
+        return self._list(prefix, after)
+
+    async def watch(self, prefix: str, after: int, wait_seconds: float) -> Listing:
+        """Wait for changes after a revision; the listing may be empty."""
+        await self._suffer()
+        async with curio.ignore_after(wait_seconds):
+            while not self._list(prefix, after).objects:
+                changed = self._changed
+                await changed.wait()
+        await self._suffer()
+        return self._list(prefix, after)
+
+    @property
+    def _read_revision(self) -> int:
+        return max(0, self.revision - self.faults.stale_by)
+
+    async def _suffer(self) -> None:
+        self.calls += 1
+        if self.faults.delay_seconds:
+            await curio.sleep(self.faults.delay_seconds)
+        if self.faults.is_away:
+            raise StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, "the store is away")
+
+    async def _write(self, key: str, value: bytes) -> int:
+        self.revision += 1
+        self._history.append(StoredObject(key, value, self.revision))
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+        faults = self.faults
+        if faults.lost_answers > 0:
+            self.faults = StoreFaults(
+                faults.is_away,
+                faults.delay_seconds,
+                faults.lost_answers - 1,
+                faults.stale_by,
+            )
+            raise StoreAnswerLost(ErrorCode.STORE_ANSWER_LOST, "the answer got lost")
+        return self.revision
+
+    def _newest(self, key: str, up_to: int) -> StoredObject | None:
+        for stored in reversed(self._history):
+            if stored.key == key and stored.revision <= up_to:
+                return stored
+        return None
+
+    def _list(self, prefix: str, after: int) -> Listing:
+        up_to = self._read_revision
+        newest_by_key: dict[str, StoredObject] = {}
+        for stored in self._history[after:up_to]:
+            if stored.key.startswith(prefix):
+                newest_by_key[stored.key] = stored
+        return Listing(tuple(newest_by_key.values()), up_to)
--- /dev/null
+++ b/packages/standins/src/bramleyglade_standins/store_server.py
@@ -0,0 +1,117 @@
+"""The stand-in for the platform's object store, as a process of its own.
+
+`PUT /v1/faults` with a JSON object sets what is wrong with it.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import curio
+import fire
+
+from bramleyglade_adapters.structure import from_json
+from bramleyglade_core.model.errors import (
+    ErrorCode,
+    StoreAnswerLost,
+    StoreUnavailable,
+    VersionConflict,
+)
+from bramleyglade_core.model.identifiers import Address
+from bramleyglade_standins.http_server import StandInAnswer, StandInRequest, listen
+from bramleyglade_standins.memory_store import MemoryStore, StoreFaults
+
+if TYPE_CHECKING:
+    from bramleyglade_core.ports.store import Listing, StoredObject
+
+_MILLISECONDS_PER_SECOND = 1000.0
+
+
+class StoreServer:
+    """Answers the store's HTTP protocol from memory."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+
+    async def answer(self, request: StandInRequest) -> StandInAnswer:
+        """Answer one request."""
+        try:
+            return await self._act(request)
+        except VersionConflict:
+            return StandInAnswer(412, b"{}")
+        except StoreAnswerLost:
+            return StandInAnswer(200, is_lost=True)
+        except StoreUnavailable:
+            return StandInAnswer(503, b"{}")
+
+    async def _act(self, request: StandInRequest) -> StandInAnswer:
+        url = urlsplit(request.head.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/v1/faults":
+            code = ErrorCode.BAD_REQUEST
+            self._store.faults = from_json(StoreFaults, request.body, code)
+            return StandInAnswer(200, b"{}")
+        if url.path == "/v1/list":
+            listing = await self._store.list_changed(
+                query.get("prefix", ""), int(query.get("after", 0))
+            )
+            return _json(_plain_listing(listing))
+        if url.path == "/v1/watch":
+            listing = await self._store.watch(
+                query.get("prefix", ""),
+                int(query.get("after", 0)),
+                int(query.get("wait_ms", 0)) / _MILLISECONDS_PER_SECOND,
+            )
+            return _json(_plain_listing(listing))
+        key = unquote(url.path.removeprefix("/v1/objects/"))
+        if request.head.method == "PUT":
+            return await self._put(key, request)
+        stored = await self._store.read(key)
+        return _json(_plain(stored)) if stored else StandInAnswer(404, b"{}")
+
+    async def _put(self, key: str, request: StandInRequest) -> StandInAnswer:
+        value = base64.b64decode(json.loads(request.body)["value"])
+        condition = request.head.header("if-match")
+        if condition:
+            revision = await self._store.update(key, value, int(condition))
+        else:
+            revision = await self._store.create(key, value)
+        return _json({"revision": revision})
+
+
+def _json(plain: Any) -> StandInAnswer:
+    return StandInAnswer(200, json.dumps(plain).encode())
+
+
+def _plain(stored: StoredObject) -> dict[str, Any]:
+    return {
+        "key": stored.key,
+        "value": base64.b64encode(stored.value).decode(),
+        "revision": stored.revision,
+    }
+
+
+def _plain_listing(listing: Listing) -> dict[str, Any]:
+    objects = [_plain(stored) for stored in listing.objects]
+    return {"objects": objects, "revision": listing.revision}
+
+
+def run(address: str = "127.0.0.1:7070") -> None:
+    """Serve an empty store until the process is ended.
+
+    Args:
+        address: Where to listen, as host:port.
+    """
+
+    async def serve() -> None:
+        task = await listen(Address.parse(address), StoreServer(MemoryStore()).answer)
+        await task.join()
+
+    curio.run(serve)
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
