Demonstrate the fleet as processes, and mend what that found

Two faults that the demonstration showed: curio has no signal queue, so the stop signal is read from a wake-up socket; and a relayed entity state could not be decoded (a union with None is told apart by fields), which broke each link at every ticket.

--- a/packages/adapters/src/bramleyglade_adapters/structure.py
+++ b/packages/adapters/src/bramleyglade_adapters/structure.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any, TypeVar, Union
+from typing import Any, Optional, TypeVar
 
 import cattrs
 import pyjson5
@@ -57,7 +57,9 @@
     converter.register_unstructure_hook(Address, str)
     converter.register_structure_hook(EntityKey, _structure_key)
     converter.register_unstructure_hook(EntityKey, str)
-    converter.register_structure_hook(Union[Zone, Service, Route, Team], _entity)
+    converter.register_structure_hook(Entity, _entity)
+    # A union with None is another type, which cattrs would tell apart by fields.
+    converter.register_structure_hook(Optional[Entity], _optional_entity)
     for cls in KIND_BY_TYPE:
         plain: Any = make_dict_unstructure_fn(cls, converter)
         converter.register_unstructure_hook(cls, _with_kind(plain, KIND_BY_TYPE[cls]))
@@ -75,6 +77,10 @@
     return _STRUCTURE_BY_KIND[value["kind"]](fields, _TYPE_BY_KIND[value["kind"]])
 
 
+def _optional_entity(value: Any, kind: Any) -> Entity | None:
+    return None if value is None else _entity(value, kind)
+
+
 _CONVERTER = _make_converter()
 _STRUCTURE_BY_KIND: dict[str, Any] = {
     kind: make_dict_structure_fn(cls, _CONVERTER, _cattrs_forbid_extra_keys=True)
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -6,12 +6,14 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.model.identifiers import TargetId
+
 if TYPE_CHECKING:
     import random
-    from collections.abc import Container, Sequence
+    from collections.abc import Container, Iterable, Sequence
 
     from bramleyglade_core.decisions.directory import Candidate
-    from bramleyglade_core.model.identifiers import TargetId
+    from bramleyglade_core.model.peer_messages import TargetViewTold
 
 _SAMPLES = 3
 """Targets compared for each pick (Mitzenmacher, 2001)."""
@@ -86,6 +88,22 @@
             return best
         return self._least_loaded(candidates, tried, now)
 
+    def take_views(self, daemon: str, views: Iterable[TargetViewTold]) -> None:
+        """Take in what a guard says of its targets.
+
+        Args:
+            daemon: Name of the guard's daemon.
+            views: One view for each of its targets.
+        """
+        for told in views:
+            self.view_by_target[TargetId(daemon, told.name)] = TargetView(
+                limit=told.limit,
+                busy=told.busy,
+                is_ejected=told.is_ejected,
+                is_trial=told.is_trial,
+                log_latency=told.log_latency,
+            )
+
     def note_sent(self, target: TargetId) -> None:
         """Count an attempt as under way."""
         self._own_by_target[target] = self._own_by_target.get(target, 0) + 1
@@ -143,9 +161,9 @@
         own = self._own_by_target.get(candidate.target, 0)
         distance = 0.0 if candidate.zone == self._zone else _OTHER_ZONE_LOAD
         if view is None:
-            return (own + 1) / candidate.announcement.slots + distance
+            return own / candidate.announcement.slots + distance
         if view.is_ejected:
             return math.inf
         if view.is_trial and own > 0:
             return math.inf
-        return (max(own, view.busy) + 1) / max(1, view.limit) + distance
+        return max(own, view.busy) / max(1, view.limit) + distance
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -14,10 +14,8 @@
     read_members,
 )
 from bramleyglade_adapters.structure import to_json
-from bramleyglade_core.decisions.picker import TargetView
 from bramleyglade_core.decisions.rendezvous import rank
 from bramleyglade_core.model.errors import FleetError, StoreError
-from bramleyglade_core.model.identifiers import TargetId
 from bramleyglade_core.model.peer_messages import (
     HeartbeatAnswered,
     HeartbeatSent,
@@ -192,7 +190,7 @@
                 await link.close()
             return
         self._peers.note_heard(name)
-        self._take_views(name, told)
+        self._context.picker.take_views(name, told.views)
         await self._shared.take_heartbeat(link, told, sent_at)
         if told.members_digest != self._context.directory.digest:
             await self._pull_records(link)
@@ -206,16 +204,6 @@
             return
         await self.take_records(records, link.peer.daemon.name)
 
-    def _take_views(self, name: str, told: HeartbeatAnswered) -> None:
-        for view in told.views:
-            self._context.picker.view_by_target[TargetId(name, view.name)] = TargetView(
-                limit=view.limit,
-                busy=view.busy,
-                is_ejected=view.is_ejected,
-                is_trial=view.is_trial,
-                log_latency=view.log_latency,
-            )
-
     async def _check_silent(self) -> None:
         """Have others look for neighbours that say nothing."""
         bound = self._context.settings.peers.suspect_seconds
--- a/packages/daemon/src/bramleyglade_daemon/guard/announce_server.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/announce_server.py
@@ -109,6 +109,8 @@
             "members": sorted(directory.member_names()),
             "live_members": sorted(directory.live_names()),
             "running": self._guard.running,
+            "shards": context.settings.limits.shards,
+            "shards_kept": len(context.view.assignment_by_shard),
             "keeper_of_shards": sorted(
                 assignment.shard
                 for assignment in context.view.assignment_by_shard.values()
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -124,6 +124,8 @@
             for runner in self.runner_by_name.values():
                 runner.health.service_log_latency = self._service_log_latency(runner)
                 runner.look_for_overdue()
+            name = self._context.settings.name
+            self._context.picker.take_views(name, self.views())
 
     async def close(self) -> None:
         """Give back all waiting work."""
--- a/packages/daemon/src/bramleyglade_daemon/program.py
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -5,7 +5,6 @@
 import gc
 import logging
 import random
-import signal
 import sys
 from typing import TYPE_CHECKING
 
@@ -19,6 +18,7 @@
 from bramleyglade_core.model.errors import BadInput
 from bramleyglade_daemon.daemon import Daemon
 from bramleyglade_daemon.fleet.context import Context
+from bramleyglade_daemon.stop_signal import StopSignal
 
 if TYPE_CHECKING:
     from bramleyglade_core.model.settings import DaemonSettings
@@ -50,13 +50,13 @@
     telemetry = Telemetry(settings, random.Random())
     store = HttpStore(settings.store_address)
     daemon = Daemon(Context(settings, store, telemetry))
-    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
-        await daemon.start()
-        # What is alive now lives for ever; pauses grow with what is scanned.
-        gc.freeze()
-        gc.set_threshold(_YOUNG_OBJECTS, 20, 100)
-        await signals.get()
-        await daemon.stop()
+    stop_signal = StopSignal()
+    await daemon.start()
+    # What is alive now lives for ever; pauses grow with what is scanned.
+    gc.freeze()
+    gc.set_threshold(_YOUNG_OBJECTS, 20, 100)
+    await stop_signal.wait()
+    await daemon.stop()
     telemetry.shut_down()
 
 
--- /dev/null
+++ b/packages/standins/src/bramleyglade_standins/demo.py
@@ -0,0 +1,183 @@
+"""The demonstration: a small fleet through a gray target and a zone move."""
+
+from __future__ import annotations
+
+import json
+import random
+import statistics
+import sys
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_core.decisions.admission import hash_key
+from bramleyglade_standins.caller import Caller, CallerSettings, CallOutcome
+from bramleyglade_standins.processes import FleetPlan, ProcessFleet
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+_SEED = 20
+_PLAN = FleetPlan(
+    daemons=4, zones=2, services=("catalogue", "ledger"), first_port=23_000
+)
+_RATE_BY_TEAM = {"studio": 200.0, "school": 100.0, "archive": 100.0}
+_CALLERS_PER_TEAM = 4
+_PACE = 8.0
+"""Requests a second of one caller."""
+
+_PHASES = (
+    ("all well", 4.0),
+    ("one target gray", 6.0),
+    ("zone-1 out", 5.0),
+    ("zone-1 back", 5.0),
+)
+
+
+async def run_demo() -> int:
+    """Run the demonstration.
+
+    Returns:
+        0 if every caller got a whole answer of its own, else 1.
+    """
+    fleet = ProcessFleet(_PLAN)
+    fleet.start()
+    try:
+        _apply_first_ticket(fleet)
+        await fleet.wait_ready()
+        failed = await _run_phases(fleet)
+        keys_seen = await _count_keys_seen(fleet)
+    finally:
+        stopped_badly = fleet.stop()
+    for line in (f"keys seen by targets: {keys_seen}", f"bad stops: {stopped_badly}"):
+        print(line)
+    if failed or keys_seen or stopped_badly:
+        print(f"FAILED; logs are in {fleet.directory}")
+        return 1
+    print("every caller got its own whole answers")
+    return 0
+
+
+async def _run_phases(fleet: ProcessFleet) -> int:
+    randomness = random.Random(_SEED)
+    callers = [_make_caller(fleet, team, randomness) for team in _RATE_BY_TEAM] * 1
+    for team in _RATE_BY_TEAM:
+        for _ in range(_CALLERS_PER_TEAM - 1):
+            callers.append(_make_caller(fleet, team, randomness))
+    total = sum(seconds for _, seconds in _PHASES)
+    tasks = [await curio.spawn(caller.run, total) for caller in callers]
+    starts = []
+    for name, seconds in _PHASES:
+        starts.append(time.monotonic())
+        await _begin_phase(fleet, name)
+        await curio.sleep(max(0.0, starts[-1] + seconds - time.monotonic()))
+    for task in tasks:
+        await task.join()
+    outcomes = [outcome for caller in callers for outcome in caller.outcomes]
+    return _print_table(outcomes, starts)
+
+
+async def _begin_phase(fleet: ProcessFleet, name: str) -> None:
+    if name == "one target gray":
+        await fleet.behave(0, 0, slow_factor=10.0, error_share=0.2)
+    elif name == "zone-1 out":
+        await fleet.behave(0, 0)
+        await curio.run_in_thread(fleet.run_client, "zone", "out", "zone-1")
+    elif name == "zone-1 back":
+        await curio.run_in_thread(fleet.run_client, "zone", "in", "zone-1")
+
+
+def _make_caller(fleet: ProcessFleet, team: str, randomness: random.Random) -> Caller:
+    addresses = tuple(fleet.caller_address(i) for i in range(_PLAN.daemons))
+    service = randomness.choice(_PLAN.services)
+    settings = CallerSettings(
+        team=team,
+        key=f"key-of-{team}",
+        path=f"/{service}/songs?page=1",
+        addresses=addresses,
+        requests_per_second=_PACE,
+    )
+    return Caller(settings, random.Random(randomness.getrandbits(64)))
+
+
+def _apply_first_ticket(fleet: ProcessFleet) -> Path:
+    zones = [f"zone-{i}" for i in range(_PLAN.zones)]
+    entities: list[dict[str, object]] = [
+        {"kind": "zone", "name": zone, "region": "region-1"} for zone in zones
+    ]
+    for service in _PLAN.services:
+        entities.append({"kind": "service", "name": service, "zones": zones})
+        entities.append(
+            {
+                "kind": "route",
+                "name": service,
+                "service": service,
+                "path_prefix": f"/{service}",
+            }
+        )
+    for team, rate in _RATE_BY_TEAM.items():
+        entities.append(
+            {
+                "kind": "team",
+                "name": team,
+                "rate": rate,
+                "burst": int(rate),
+                "key_hashes": [hash_key(f"key-of-{team}")],
+            }
+        )
+    path = fleet.directory / "ticket-1.jsonc"
+    ticket = {"number": 1, "summary": "the whole fleet", "entities": entities}
+    path.write_text(json.dumps(ticket, indent=2))
+    _retry_client(fleet, "ticket", "apply", str(path))
+    return path
+
+
+def _retry_client(fleet: ProcessFleet, *arguments: str) -> None:
+    """Run the client until the store, which has just been started, answers."""
+    for _ in range(20):
+        try:
+            fleet.run_client(*arguments)
+            return
+        except RuntimeError:
+            time.sleep(0.2)
+    fleet.run_client(*arguments)
+
+
+async def _count_keys_seen(fleet: ProcessFleet) -> int:
+    seen = 0
+    for index in range(_PLAN.daemons):
+        for service in range(len(_PLAN.services)):
+            told = await fleet.ask(fleet.target_address(index, service), "/-/counts")
+            seen += told["keys_seen"]
+    return seen
+
+
+def _print_table(outcomes: list[CallOutcome], starts: list[float]) -> int:
+    """Print what callers saw in each phase; return the bad outcomes."""
+    print(f"{'phase':18}{'requests':>9}{'ok':>7}{'p50 ms':>9}{'p99 ms':>9}  others")
+    bad = 0
+    for index, (name, _) in enumerate(_PHASES):
+        end = starts[index + 1] if index + 1 < len(starts) else float("inf")
+        begin = starts[index] if index else 0.0
+        here = [o for o in outcomes if begin <= o.at < end]
+        codes = Counter(o.code for o in here)
+        seconds = sorted(o.seconds for o in here) or [0.0]
+        others = {code: count for code, count in codes.items() if code != "ok"}
+        bad += sum(codes[code] for code in ("wrong", "lost"))
+        p50 = statistics.median(seconds) * 1000
+        p99 = seconds[int(0.99 * (len(seconds) - 1))] * 1000
+        print(
+            f"{name:18}{len(here):9}{codes['ok']:7}{p50:9.1f}{p99:9.1f}  {others or ''}"
+        )
+    return bad
+
+
+def main() -> None:
+    """Run the demonstration and exit with its result."""
+    sys.exit(curio.run(run_demo))
+
+
+if __name__ == "__main__":
+    main()
