Share rates by need, with recalls; keep callers' connections

Cause 1: the first holder of a team took 90% of its rate, and the rest ran dry while it idled. Holders now get what came to them lately, half of the burst that goes with it, and the keeper serves the rest from its own part and recalls idle shares when that runs low. Ruled out: shorter renewals alone, which cost messages and left movers refused.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the fleet, each printing one JSON object a line."""
--- /dev/null
+++ b/benchmarks/measure.py
@@ -0,0 +1,30 @@
+"""One line of output for each measurement."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """One figure by one policy."""
+
+    measure: str
+    policy: str
+    value: float
+    unit: str
+    seed: int
+
+
+def emit(measurement: Measurement) -> None:
+    """Print a measurement as a line of JSON."""
+    line = asdict(measurement)
+    line["value"] = round(measurement.value, 4)
+    print(json.dumps(line), flush=True)
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the value below which a share of the values lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -93,11 +93,16 @@
         names = {header.name for header in headers}
         if {"content-length", "transfer-encoding"} <= names:
             raise BadRequest(ErrorCode.BAD_REQUEST, "two lengths for one body")
+        has_body = _has_body(headers)
+        if not has_body:
+            # The end of the message is there already, and must be taken in
+            # for the connection to be reusable.
+            await self._next_event()
         return RequestHead(
             method=event.method.decode("ascii"),
             target=event.target.decode("latin-1"),
             headers=headers,
-            has_body=_has_body(headers),
+            has_body=has_body,
         )
 
     async def receive_body(self) -> bytes | None:
--- a/packages/adapters/src/bramleyglade_adapters/link/codec.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/codec.py
@@ -161,6 +161,7 @@
     peer_messages.SuspicionTold,
     shares.ShareAsked,
     shares.ShareGranted,
+    shares.ShareRecalled,
     ejections.EjectionAsked,
     ejections.EjectionTold,
     shares.BookHandedOver,
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -34,6 +34,7 @@
     answerContinued @27 :AnswerContinued;
     answerEnded @28 :AnswerEnded;
     attemptFailed @29 :AttemptFailed;
+    shareRecalled @30 :ShareRecalled;
   }
 }
 
@@ -123,6 +124,8 @@
   retryAfter @8 :Float64;
 }
 
+struct ShareRecalled { team @0 :Text; }
+
 struct HeldShare {
   team @0 :Text;
   holder @1 :DaemonId;
--- a/packages/adapters/src/bramleyglade_adapters/logs.py
+++ b/packages/adapters/src/bramleyglade_adapters/logs.py
@@ -39,3 +39,5 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    # Curio warns of each operation that ends just past a timeout.
+    logging.getLogger("curio").setLevel(logging.ERROR)
--- a/packages/adapters/src/bramleyglade_adapters/structure.py
+++ b/packages/adapters/src/bramleyglade_adapters/structure.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any, Optional, TypeVar
+from typing import Any, TypeVar
 
 import cattrs
 import pyjson5
@@ -13,10 +13,6 @@
     KIND_BY_TYPE,
     Entity,
     EntityKey,
-    Route,
-    Service,
-    Team,
-    Zone,
 )
 from bramleyglade_core.model.errors import BadInput, ErrorCode
 from bramleyglade_core.model.identifiers import Address
@@ -59,7 +55,7 @@
     converter.register_unstructure_hook(EntityKey, str)
     converter.register_structure_hook(Entity, _entity)
     # A union with None is another type, which cattrs would tell apart by fields.
-    converter.register_structure_hook(Optional[Entity], _optional_entity)
+    converter.register_structure_hook(Entity | None, _optional_entity)
     for cls in KIND_BY_TYPE:
         plain: Any = make_dict_unstructure_fn(cls, converter)
         converter.register_unstructure_hook(cls, _with_kind(plain, KIND_BY_TYPE[cls]))
--- a/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from bramleyglade_core.model.announcements import KeeperAssignment
     from bramleyglade_core.model.entities import Team
+    from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.model.settings import DaemonSettings
     from bramleyglade_core.model.shares import ShareAsked
 
@@ -120,6 +121,13 @@
         is_collecting = self.phase is KeeperPhase.COLLECTING
         return book.answer(asked, team, now, is_collecting)
 
+    def recalls(self, asked: ShareAsked, now: float) -> list[DaemonId]:
+        """Name the holders to recall after an ask was answered."""
+        book = self._book_by_team.get(asked.team)
+        if book is None or self.phase is not KeeperPhase.GRANTING:
+            return []
+        return book.recalls(asked, now)
+
     def ejections(self, service: str) -> EjectionBook:
         """Return the book of a service's ejections."""
         return self._ejections_by_service.setdefault(service, EjectionBook())
--- a/packages/core/src/bramleyglade_core/decisions/share_holding.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_holding.py
@@ -13,8 +13,11 @@
     from bramleyglade_core.model.settings import LimitSettings
     from bramleyglade_core.model.shares import ShareGranted
 
-_DEMAND_HALF_LIFE_SECONDS = 2.0
-"""Time in which an old arrival loses half its weight."""
+_DEMAND_HALF_LIFE_SECONDS = 4.0
+"""Time in which an old arrival loses half its weight in a share."""
+
+_RECENT_HALF_LIFE_SECONDS = 0.25
+"""The same where the keeper asks who could spare something at once."""
 
 TOKEN_TERM_SECONDS = 1.0
 """How long a single token is good, counted from before the asking."""
@@ -23,7 +26,8 @@
 class DemandMeter:
     """An exponentially weighted rate of arrivals."""
 
-    def __init__(self) -> None:
+    def __init__(self, half_life_seconds: float) -> None:
+        self._half_life = half_life_seconds
         self._weight = 0.0
         self._updated_at = 0.0
 
@@ -35,11 +39,11 @@
     def rate(self, now: float) -> float:
         """Return the arrivals a second."""
         self._decay(now)
-        return self._weight * math.log(2) / _DEMAND_HALF_LIFE_SECONDS
+        return self._weight * math.log(2) / self._half_life
 
     def _decay(self, now: float) -> None:
         elapsed = max(0.0, now - self._updated_at)
-        self._weight *= 0.5 ** (elapsed / _DEMAND_HALF_LIFE_SECONDS)
+        self._weight *= 0.5 ** (elapsed / self._half_life)
         self._updated_at = max(now, self._updated_at)
 
 
@@ -56,7 +60,9 @@
         self.units = 0
         self.level = 0.0
         self.term_end = float("-inf")
-        self.demand = DemandMeter()
+        self.demand = DemandMeter(_DEMAND_HALF_LIFE_SECONDS)
+        self._recent_demand = DemandMeter(_RECENT_HALF_LIFE_SECONDS)
+        self._is_recalled = False
         self._refilled_at = float("-inf")
         self._tokens = 0
         self._tokens_end = float("-inf")
@@ -72,6 +78,16 @@
         """Whether an answer of the keeper is awaited."""
         return self._asked_at is not None
 
+    def note_arrival(self, now: float) -> None:
+        """Note a request of the team, admitted or not."""
+        self.demand.note(now)
+        self._recent_demand.note(now)
+
+    def recall(self, now: float) -> None:
+        """Make an ask due that tells of the newest demand only."""
+        self._is_recalled = True
+        self.next_ask_at = now
+
     def has_been_confirmed(self, now: float) -> bool:
         """Tell whether the keeper has spoken within the term."""
         return now < self.term_end
@@ -114,6 +130,10 @@
         self._asked_at = now
         self.next_ask_at = now + self._settings.renew_seconds
         returned, self._returned_level = self._returned_level, 0.0
+        demand = self.demand.rate(now)
+        if self._is_recalled:
+            demand = min(demand, self._recent_demand.rate(now))
+            self._is_recalled = False
         return ShareAsked(
             team=team.name,
             holder=self._holder,
@@ -121,7 +141,7 @@
             held_units=self.units,
             held_tokens=self._tokens,
             returned_level=returned,
-            demand=self.demand.rate(now),
+            demand=demand,
             wanted_tokens=waiting,
         )
 
@@ -179,7 +199,8 @@
         share = self.units / SHARE_UNITS
         elapsed = max(0.0, now - self._refilled_at)
         self._refilled_at = max(now, self._refilled_at)
-        self.level = min(team.burst * share, self.level + team.rate * share * elapsed)
+        cap = team.burst * share * self._settings.holder_burst
+        self.level = min(cap, self.level + team.rate * share * elapsed)
 
     def _give_back(self, target_units: int) -> bool:
         before = self.level
--- a/packages/core/src/bramleyglade_core/decisions/share_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_keeper.py
@@ -24,7 +24,33 @@
 _DEMAND_TERM_FACTOR = 3.0
 """Asks after which a silent holder's demand no longer counts."""
 
-_WORTHWHILE_CHANGE = 0.05
+_HEADROOM = 1.0
+"""Rate that a holder gets, as a multiple of what came to it lately.
+
+What is not handed out stays with the keeper for whoever runs dry, so that no
+bucket overflows at one daemon while another refuses."""
+
+_FIRST_RECALL_PAUSE_SECONDS = 0.1
+"""Time between two recalls; doubles while they bring nothing."""
+
+_LONGEST_RECALL_PAUSE_SECONDS = 2.0
+
+_MOST_RECALLS = 3
+"""Holders asked at once to state their holding anew."""
+
+_LOW_LEVEL = 0.5
+"""Level of the keeper's part, as a share of its most, from which it recalls."""
+
+_PREFETCH_SECONDS = 0.25
+"""Demand for which a holder gets tokens ahead while there are plenty."""
+
+_PREFETCH_SHARE = 0.1
+"""Most of the keeper's level that one holder gets ahead."""
+
+_CROWDED_PAUSE_SECONDS = 0.5
+"""Time between two asks of a holder while the team sends more than its rate."""
+
+_WORTHWHILE_CHANGE = 0.1
 """Smallest move of units, as a share of the target."""
 
 
@@ -58,6 +84,9 @@
         self._line_by_holder: dict[DaemonId, _BookLine] = {}
         self._level = level
         self._refilled_at = free_since
+        self._is_low = False
+        self._recall_pause = _FIRST_RECALL_PAUSE_SECONDS
+        self._next_recall_at = free_since
 
     def register(self, line: HeldShare, now: float) -> None:
         """Enter a share that a former keeper granted."""
@@ -137,6 +166,8 @@
         booked_units = asked.held_units if is_new and is_collecting else 0
         if known is not None:
             booked_units = min(asked.held_units, known.units)
+            if booked_units < known.units:
+                self._recall_pause = _FIRST_RECALL_PAUSE_SECONDS
         line = _BookLine(
             units=booked_units,
             tokens=asked.held_tokens,
@@ -177,21 +208,39 @@
             added_level=added_level,
             added_tokens=tokens,
             target_units=target,
-            retry_after=0.0 if is_served else self._seconds_to_token(team),
+            retry_after=0.0 if is_served else self._seconds_to_token(team, now),
         )
 
+    def recalls(self, asked: ShareAsked, now: float) -> list[DaemonId]:
+        """Name holders that should state their holding anew, if the rest is low.
+
+        Args:
+            asked: The ask that was just answered.
+            now: Time of this process's clock, in seconds.
+
+        Returns:
+            The largest holders beside the one that asked.
+        """
+        if now < self._next_recall_at or not self._is_low:
+            return []
+        self._next_recall_at = now + self._recall_pause
+        self._recall_pause = min(2 * self._recall_pause, _LONGEST_RECALL_PAUSE_SECONDS)
+        others = [
+            (line.units, holder)
+            for holder, line in self._line_by_holder.items()
+            if holder != asked.holder and line.units
+        ]
+        return [holder for _, holder in sorted(others, reverse=True)[:_MOST_RECALLS]]
+
     def _target_units(self, line: _BookLine, team: Team, now: float) -> int:
-        fresh = now - _DEMAND_TERM_FACTOR * self._settings.renew_seconds
-        total = sum(
-            other.demand
-            for other in self._line_by_holder.values()
-            if other.stated_at >= fresh
-        )
+        total = self._total_demand(now)
         if total <= 0:
             return line.units
         spread = SHARE_UNITS * (1.0 - self._settings.keeper_reserve)
-        target = int(spread * line.demand / total)
-        if target * team.burst < SHARE_UNITS:
+        proportional = spread * line.demand / total
+        needed = SHARE_UNITS * _HEADROOM * line.demand / team.rate
+        target = int(min(proportional, needed))
+        if target * team.burst * self._settings.holder_burst < SHARE_UNITS:
             return 0
         if abs(target - line.units) < _WORTHWHILE_CHANGE * target:
             return line.units
@@ -204,32 +253,46 @@
         added = min(max(0, target - line.units), max(0, free))
         if added == 0:
             return 0, 0.0
-        level = self._level * added / free
+        cap = team.burst * self._settings.holder_burst * added / SHARE_UNITS
+        level = min(cap, self._level * added / free)
         self._level -= level
-        self._level = min(self._level, team.burst * (free - added) / SHARE_UNITS)
         return added, level
 
     def _grant_tokens(self, asked: ShareAsked, added_level: float) -> int:
-        missing = asked.wanted_tokens - int(added_level)
-        tokens = max(0, min(missing, int(self._level)))
+        missing = max(0, asked.wanted_tokens - int(added_level))
+        ahead = 0
+        if missing and not self._is_low:
+            share = _PREFETCH_SHARE * self._level
+            ahead = int(min(share, _PREFETCH_SECONDS * asked.demand))
+        tokens = min(missing + ahead, int(self._level))
         self._level -= tokens
         return tokens
 
-    def _seconds_to_token(self, team: Team) -> float:
+    def _total_demand(self, now: float) -> float:
+        fresh = now - _DEMAND_TERM_FACTOR * self._settings.renew_seconds
+        lines = self._line_by_holder.values()
+        return sum(line.demand for line in lines if line.stated_at >= fresh)
+
+    def _seconds_to_token(self, team: Team, now: float) -> float:
         free = max(0, SHARE_UNITS - self.held_units)
         rate = team.rate * free / SHARE_UNITS
         if rate <= 0:
             return self._settings.renew_seconds
-        wait = (1.0 - self._level) / rate
-        return min(self._settings.renew_seconds, max(0.0, wait))
+        wait = max(0.0, (1.0 - self._level) / rate)
+        is_nothing_to_spare = self._recall_pause > _CROWDED_PAUSE_SECONDS
+        if is_nothing_to_spare and self._total_demand(now) > team.rate:
+            wait = max(wait, _CROWDED_PAUSE_SECONDS)
+        return min(self._settings.renew_seconds, wait)
 
     def _cap(self, team: Team) -> float:
-        free = max(0, SHARE_UNITS - self.held_units)
-        return max(0.0, team.burst * free / SHARE_UNITS - self.held_tokens)
+        held = self._settings.holder_burst * self.held_units / SHARE_UNITS
+        return max(0.0, team.burst * (1.0 - held) - self.held_tokens)
 
     def _refill(self, team: Team, now: float) -> None:
         free = max(0, SHARE_UNITS - self.held_units)
         elapsed = max(0.0, now - self._refilled_at)
         self._refilled_at = max(now, self._refilled_at)
         grown = self._level + team.rate * free / SHARE_UNITS * elapsed
-        self._level = min(self._cap(team), grown)
+        cap = self._cap(team)
+        self._level = min(cap, grown)
+        self._is_low = self._level < _LOW_LEVEL * cap
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -41,7 +41,7 @@
 
     shards: int = 16
     """Shards of teams; each shard has one keeper. The same on all daemons."""
-    slice_term_seconds: float = 20.0
+    slice_term_seconds: float = 15.0
     """How long a granted share is good without a new word of the keeper."""
     renew_seconds: float = 2.0
     """Time between two asks of a holder for the same team."""
@@ -49,6 +49,8 @@
     """How long a request waits for the keeper's answer."""
     keeper_reserve: float = 0.1
     """Share of the rate that a keeper keeps for single tokens, 0 to 1."""
+    holder_burst: float = 0.5
+    """Burst that goes with a unit of rate; the rest stays with the keeper, 0 to 1."""
 
     def __post_init__(self) -> None:
         _require(1 <= self.shards <= 65_536, "shards must lie between 1 and 65536")
@@ -57,6 +59,7 @@
             "renew_seconds must lie between 0 and slice_term_seconds",
         )
         _require(0 <= self.keeper_reserve < 1, "keeper_reserve must lie in [0, 1)")
+        _require(0 < self.holder_burst <= 1, "holder_burst must lie in (0, 1]")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bramleyglade_core/model/shares.py
+++ b/packages/core/src/bramleyglade_core/model/shares.py
@@ -56,6 +56,13 @@
     """Seconds until asking again is useful."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShareRecalled:
+    """The keeper asks a holder to state its holding anew, at once."""
+
+    team: str
+
+
 @dataclass(frozen=True, slots=True)
 class HeldShare:
     """One line of a keeper's book."""
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -56,6 +56,7 @@
         self.peers.on_greeted = self._greeted
         self.guard.on_changed = self.membership.publish
         self.shared.on_extended = self.limiter.extend
+        self.keepers.on_recalled = self.limiter.recall
         self._tasks: list[curio.Task] = []
         self._callers: curio.Task | None = None
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -14,11 +14,19 @@
 from bramleyglade_core.model.announcements import KeeperAssignment
 from bramleyglade_core.model.ejections import EjectionAsked, EjectionTold
 from bramleyglade_core.model.errors import FleetError, StoreError
-from bramleyglade_core.model.shares import BookHandedOver, ShareAsked, ShareGranted
+from bramleyglade_core.model.shares import (
+    BookHandedOver,
+    ShareAsked,
+    ShareGranted,
+    ShareRecalled,
+)
 from bramleyglade_daemon.fleet.peers import expect
 from bramleyglade_daemon.fleet.shared_state import SIGHT_FRESH_SECONDS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.peers import Peers
     from bramleyglade_daemon.fleet.shared_state import SharedState
@@ -53,6 +61,8 @@
         self._claimed_at_by_shard: dict[int, float] = {}
         self._orphan_since_by_shard: dict[int, float] = {}
         self._is_stopped = False
+        self.on_recalled: Callable[[str], None] | None = None
+        """Called with a team whose share this daemon is to state anew."""
 
     async def run(self) -> None:
         """Take over shards without a keeper and go through the waits, for ever."""
@@ -90,7 +100,7 @@
         if name is None:
             return None
         if name == self._context.settings.name:
-            return self.answer_share(asked)
+            return await self.answer_share(asked)
         try:
             answer = await self._peers.call(name, asked, _ANSWER_SECONDS)
             return expect(answer, ShareGranted)
@@ -98,14 +108,18 @@
             _LOG.info("KeeperUnreachable", extra={"keeper": name, "why": str(error)})
             return None
 
-    def answer_share(self, asked: ShareAsked) -> ShareGranted:
+    async def answer_share(self, asked: ShareAsked) -> ShareGranted:
         """Answer a holder as the keeper of its team."""
         refusal = ShareGranted(asked.team, asked.sequence, False, retry_after=0.5)
         keeper = self._find_keeper(f"team/{asked.team}")
         team = self._context.configuration.team_by_name.get(asked.team)
         if keeper is None or team is None:
             return refusal
-        return keeper.answer(asked, team, self._context.clock()) or refusal
+        now = self._context.clock()
+        granted = keeper.answer(asked, team, now)
+        for holder in keeper.recalls(asked, now):
+            await self._recall(holder, asked.team)
+        return granted or refusal
 
     async def ask_ejection(self, asked: EjectionAsked) -> bool | None:
         """Ask the keeper of a service for leave to eject; None if unreachable."""
@@ -152,6 +166,15 @@
         for shard, keeper in list(self._keeper_by_shard.items()):
             await self._hand_over(shard, keeper)
 
+    async def _recall(self, holder: DaemonId, team: str) -> None:
+        if holder == self._context.daemon:
+            if self.on_recalled is not None:
+                self.on_recalled(team)
+            return
+        link = self._peers.link_to(holder.name)
+        if link is not None:
+            await link.tell(ShareRecalled(team))
+
     def _find_keeper(self, key: str) -> ShardKeeper | None:
         """Return the books for a key, if this daemon may use them now."""
         if self._is_stopped or not self._context.lease.is_valid:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -24,7 +24,7 @@
     SightAsked,
     SuspicionTold,
 )
-from bramleyglade_core.model.shares import BookHandedOver, ShareAsked
+from bramleyglade_core.model.shares import BookHandedOver, ShareAsked, ShareRecalled
 from bramleyglade_daemon.streams import GuardStream, LinkPoster
 
 if TYPE_CHECKING:
@@ -119,7 +119,12 @@
 
     @_handle.register
     async def _(self, message: ShareAsked, link: Link, stream: int) -> None:
-        await self._answer(link, stream, self._keepers.answer_share(message))
+        await self._answer(link, stream, await self._keepers.answer_share(message))
+
+    @_handle.register
+    async def _(self, message: ShareRecalled, link: Link, stream: int) -> None:
+        if self._keepers.on_recalled is not None:
+            self._keepers.on_recalled(message.team)
 
     @_handle.register
     async def _(self, message: EjectionAsked, link: Link, stream: int) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -51,7 +51,7 @@
         """
         share = self._share(team)
         holding = share.holding
-        holding.demand.note(self._context.clock())
+        holding.note_arrival(self._context.clock())
         if self._try_spend(share, team):
             return
         wait = self._context.settings.limits.answer_wait_seconds
@@ -85,6 +85,12 @@
         for share in self._share_by_team.values():
             share.holding.extend(asked_at, until)
 
+    def recall(self, team: str) -> None:
+        """State a team's share anew at once, since others run dry."""
+        share = self._share_by_team.get(team)
+        if share is not None:
+            share.holding.recall(self._context.clock())
+
     async def release_all(self) -> None:
         """Give all shares back, before this daemon leaves."""
         for name, share in list(self._share_by_team.items()):
--- a/packages/standins/src/bramleyglade_standins/caller.py
+++ b/packages/standins/src/bramleyglade_standins/caller.py
@@ -51,7 +51,8 @@
     seconds: float
     at: float
     """Time of the answer, on this process's clock."""
-    target: str = ""
+    detail: str = ""
+    """Name of the target that answered, or how the answer was lost."""
 
 
 class Caller:
@@ -89,9 +90,9 @@
                 timeout_seconds=_TIMEOUT_SECONDS,
             )
             code, verdict, target = self._judge(answer, request_id)
-        except (RequestNotSent, AnswerLost):
+        except (RequestNotSent, AnswerLost) as error:
             await self._move_on()
-            code, verdict, target = "lost", "may-have-run", ""
+            code, verdict, target = "lost", "may-have-run", str(error)
         now = time.monotonic()
         team = self._settings.team
         return CallOutcome(
--- a/packages/standins/src/bramleyglade_standins/demo.py
+++ b/packages/standins/src/bramleyglade_standins/demo.py
@@ -166,6 +166,8 @@
         seconds = sorted(o.seconds for o in here) or [0.0]
         others = {code: count for code, count in codes.items() if code != "ok"}
         bad += sum(codes[code] for code in ("wrong", "lost"))
+        for lost in (o for o in here if o.code in ("lost", "wrong")):
+            print(f"  {lost}")
         p50 = statistics.median(seconds) * 1000
         p99 = seconds[int(0.99 * (len(seconds) - 1))] * 1000
         print(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,7 @@
 
 import curio
 import pytest
+
 from bramleyglade_adapters.http.simple_client import SimpleClient, WholeAnswer
 from bramleyglade_adapters.telemetry import Telemetry
 from bramleyglade_client.ticket_desk import TicketDesk
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -6,6 +6,8 @@
 import json
 
 import pytest
+
+from bramleyglade_adapters.http.simple_client import SimpleClient
 from bramleyglade_core.model.exchange import Header
 
 
@@ -69,3 +71,17 @@
         assert not any(target.runs_by_request for target in fleet.targets)
 
     run_fleet(scenario, daemons=1, zones=1)
+
+
+def test_callers_connection_is_kept_after_an_answer(run_fleet):
+    async def scenario(fleet):
+        client = SimpleClient(fleet.settings[0].caller_address)
+        for _ in range(3):
+            await client.request("GET", "/open/x")
+        assert len(fleet.daemons[0].front.connections) == 1
+        connection = next(iter(fleet.daemons[0].front.connections))
+        await client.request("GET", "/open/x")
+        assert fleet.daemons[0].front.connections == {connection}
+        await client.close()
+
+    run_fleet(scenario, daemons=1, zones=1)
