--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import sys
+from collections import Counter
 from dataclasses import dataclass
 from functools import cached_property
 from typing import TYPE_CHECKING
 
 from opentelemetry import trace
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import (
     ConsoleMetricExporter,
@@ -27,14 +29,17 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
-    from opentelemetry.metrics import Counter, Histogram
+    from opentelemetry.metrics import CallbackOptions, Histogram, Meter
 
     from bramleyglade_core.model.settings import DaemonSettings
 
 _MILLISECONDS_PER_SECOND = 1000.0
 _SAMPLED_SUFFIX = "-01"
+Label = tuple[str, str]
+"""Name and value of an attribute."""
+
 _PROPAGATOR = TraceContextTextMapPropagator()
 
 
@@ -57,6 +62,22 @@
             self.span.end()
 
 
+class CheapCounter:
+    """Counts in a plain dictionary, which the exporter reads once a period."""
+
+    def __init__(self, meter: Meter, name: str) -> None:
+        self._count_by_labels: Counter[tuple[Label, ...]] = Counter()
+        meter.create_observable_counter(name, [self._observe])
+
+    def add(self, *labels: Label) -> None:
+        """Count one event under its labels."""
+        self._count_by_labels[labels] += 1
+
+    def _observe(self, _: CallbackOptions) -> Iterator[Observation]:
+        for labels, count in list(self._count_by_labels.items()):
+            yield Observation(count, dict(labels))
+
+
 class Telemetry:
     """Metrics and traces of one process."""
 
@@ -71,24 +92,12 @@
         self._is_exporting = self._settings.exporter != "none"
         self._meters = MeterProvider(self._metric_readers(), resource=resource)
         self._meter = self._meters.get_meter("bramleyglade")
+        self._requests = CheapCounter(self._meter, "bramleyglade.requests")
+        self._attempts = CheapCounter(self._meter, "bramleyglade.attempts")
+        self._events = CheapCounter(self._meter, "bramleyglade.events")
         if self._is_exporting:
             self._tracers.add_span_processor(BatchSpanProcessor(self._span_exporter()))
 
-    @cached_property
-    def requests(self) -> Counter:
-        """Requests answered at this front, by outcome code and verdict."""
-        return self._meter.create_counter("bramleyglade.requests")
-
-    @cached_property
-    def attempts(self) -> Counter:
-        """Attempts run at this guard, by service and outcome."""
-        return self._meter.create_counter("bramleyglade.attempts")
-
-    @cached_property
-    def events(self) -> Counter:
-        """Ejections, lease lapses, takeovers and the like, by name."""
-        return self._meter.create_counter("bramleyglade.events")
-
     @cached_property
     def _front_latency(self) -> Histogram:
         return self._meter.create_histogram("bramleyglade.front.latency", unit="ms")
@@ -99,18 +108,18 @@
 
     def note_request(self, code: str, verdict: str, seconds: float) -> None:
         """Count a request that the front has answered."""
-        self.requests.add(1, {"code": code, "verdict": verdict})
+        self._requests.add(("code", code), ("verdict", verdict))
         self._front_latency.record(seconds * _MILLISECONDS_PER_SECOND)
 
     def note_attempt(self, service: str, code: str, seconds: float) -> None:
         """Count an exchange with a target."""
-        self.attempts.add(1, {"service": service, "code": code})
+        self._attempts.add(("service", service), ("code", code))
         attributes = {"service": service}
         self._target_latency.record(seconds * _MILLISECONDS_PER_SECOND, attributes)
 
     def note_event(self, name: str) -> None:
         """Count something that operators may want to hear of."""
-        self.events.add(1, {"event": name})
+        self._events.add(("event", name))
 
     def start_hop(self, name: str, traceparent: str, is_root: bool = False) -> Hop:
         """Start a hop of a request.
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -34,8 +34,8 @@
 _PERIOD_SECONDS = 0.3
 _ANSWER_SECONDS = 1.0
 
-_SETTLE_SECONDS = 1.0
-"""Time after the first look at the members in which nothing is claimed."""
+_SETTLE_BEATS = 2
+"""Heartbeats after the first look at the members in which nothing is claimed."""
 
 _UNKNOWN_SECONDS = 5.0
 """Time after which a keeper that is no known member counts as gone."""
@@ -192,7 +192,8 @@
         """Write an assignment for each orphan that falls to this daemon."""
         now = self._context.clock()
         discovered_at = self._context.discovered_at
-        if discovered_at is None or now < discovered_at + _SETTLE_SECONDS:
+        settle = _SETTLE_BEATS * self._context.settings.peers.heartbeat_seconds
+        if discovered_at is None or now < discovered_at + settle:
             return
         if self._context.lease.is_extended:
             return
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -232,7 +232,7 @@
         attempts.note_answer()
         # The head waits a moment for what follows: they go out in one write,
         # and an answer that breaks off at once can still be tried again.
-        following = await curio.ignore_after(_QUICK_SECONDS, attempts.receive)
+        following = await self._receive_quickly(attempts)
         if isinstance(following, AttemptFailed):
             return following
         self._start_answer(event, request)
@@ -260,7 +260,7 @@
     ) -> AnswerEvent:
         if request.head.has_body:
             return await attempts.receive()
-        event = await curio.ignore_after(_QUICK_SECONDS, attempts.receive)
+        event = await self._receive_quickly(attempts)
         if event is not None:
             return event
         watcher = await curio.spawn(self._watch_caller, attempts)
@@ -269,6 +269,12 @@
         finally:
             await watcher.cancel()
 
+    async def _receive_quickly(self, attempts: Attempts) -> AnswerEvent | None:
+        """Wait for a moment only; None if nothing comes."""
+        if attempts.stream is not None and attempts.stream.has_more:
+            return await attempts.receive()
+        return await curio.ignore_after(_QUICK_SECONDS, attempts.receive)
+
     async def _watch_caller(self, attempts: Attempts) -> None:
         stream = attempts.stream
         if await has_left(self._sock) and stream is not None:
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -141,6 +141,8 @@
     async def receive(self) -> AnswerEvent:
         """Wait for the next part of the answer of the attempt under way."""
         assert self.stream is not None
+        if self.stream.has_more:
+            return await self.stream.receive()
         left = self._request.deadline + _GRACE_SECONDS - self._context.clock()
         try:
             async with curio.timeout_after(max(0.0, left)):
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -151,7 +151,7 @@
         now = self._context.clock()
         holding = share.holding
         wait = max(0.1, holding.dry_until - now)
-        if not holding.has_been_confirmed(now):
+        if not holding.has_been_confirmed(now) or now >= holding.dry_until:
             return RateExceeded(
                 ErrorCode.LIMIT_UNKNOWN,
                 "no share of the team's rate is to be had now",
--- a/packages/standins/src/bramleyglade_standins/demo.py
+++ b/packages/standins/src/bramleyglade_standins/demo.py
@@ -8,7 +8,6 @@
 import sys
 import time
 from collections import Counter
-from typing import TYPE_CHECKING
 
 import curio
 
@@ -16,9 +15,6 @@
 from bramleyglade_standins.caller import Caller, CallerSettings, CallOutcome
 from bramleyglade_standins.processes import FleetPlan, ProcessFleet
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 _SEED = 20
 _PLAN = FleetPlan(
     daemons=4, zones=2, services=("catalogue", "ledger"), first_port=23_000
@@ -45,7 +41,7 @@
     fleet = ProcessFleet(_PLAN)
     fleet.start()
     try:
-        _apply_first_ticket(fleet)
+        apply_ticket(fleet, _RATE_BY_TEAM)
         await fleet.wait_ready()
         failed = await _run_phases(fleet)
         keys_seen = await _count_keys_seen(fleet)
@@ -62,10 +58,11 @@
 
 async def _run_phases(fleet: ProcessFleet) -> int:
     randomness = random.Random(_SEED)
-    callers = [_make_caller(fleet, team, randomness) for team in _RATE_BY_TEAM] * 1
-    for team in _RATE_BY_TEAM:
-        for _ in range(_CALLERS_PER_TEAM - 1):
-            callers.append(_make_caller(fleet, team, randomness))
+    callers = [
+        _make_caller(fleet, team, randomness)
+        for team in _RATE_BY_TEAM
+        for _ in range(_CALLERS_PER_TEAM)
+    ]
     total = sum(seconds for _, seconds in _PHASES)
     tasks = [await curio.spawn(caller.run, total) for caller in callers]
     starts = []
@@ -102,12 +99,20 @@
     return Caller(settings, random.Random(randomness.getrandbits(64)))
 
 
-def _apply_first_ticket(fleet: ProcessFleet) -> Path:
-    zones = [f"zone-{i}" for i in range(_PLAN.zones)]
+def apply_ticket(fleet: ProcessFleet, rate_by_team: dict[str, float]) -> None:
+    """Apply a first ticket with all services and teams, by the real client.
+
+    Args:
+        fleet: The fleet, just started.
+        rate_by_team: Rate of each team, also its burst; its key is `key-of-` and
+            its name.
+    """
+    plan = fleet.plan
+    zones = [f"zone-{i}" for i in range(plan.zones)]
     entities: list[dict[str, object]] = [
         {"kind": "zone", "name": zone, "region": "region-1"} for zone in zones
     ]
-    for service in _PLAN.services:
+    for service in plan.services:
         entities.append({"kind": "service", "name": service, "zones": zones})
         entities.append(
             {
@@ -117,7 +122,7 @@
                 "path_prefix": f"/{service}",
             }
         )
-    for team, rate in _RATE_BY_TEAM.items():
+    for team, rate in rate_by_team.items():
         entities.append(
             {
                 "kind": "team",
@@ -131,7 +136,6 @@
     ticket = {"number": 1, "summary": "the whole fleet", "entities": entities}
     path.write_text(json.dumps(ticket, indent=2))
     _retry_client(fleet, "ticket", "apply", str(path))
-    return path
 
 
 def _retry_client(fleet: ProcessFleet, *arguments: str) -> None:
--- a/packages/standins/src/bramleyglade_standins/processes.py
+++ b/packages/standins/src/bramleyglade_standins/processes.py
@@ -23,6 +23,7 @@
 from bramleyglade_adapters.structure import to_plain
 from bramleyglade_core.model.identifiers import Address
 
+_STAND_INS = "bramleyglade_standins"
 _HOST = "127.0.0.1"
 _STOP_SECONDS = 15.0
 
@@ -72,7 +73,9 @@
 
     def start(self) -> None:
         """Start all processes."""
-        self._start_module("store", "store_server", address=str(self.store))
+        self.start_module(
+            "store", f"{_STAND_INS}.store_server", address=str(self.store)
+        )
         for index in range(self.plan.daemons):
             self.start_daemon(index)
         for index in range(self.plan.daemons):
@@ -90,9 +93,9 @@
     def start_target(self, index: int, service: int) -> None:
         """Start one target."""
         name = f"{self.plan.services[service]}-{index}"
-        self._start_module(
+        self.start_module(
             name,
-            "target_server",
+            f"{_STAND_INS}.target_server",
             name=name,
             service=self.plan.services[service],
             address=str(self.target_address(index, service)),
@@ -189,8 +192,15 @@
         }
         return f"// Settings of {settings['name']}.\n{json.dumps(settings, indent=2)}\n"
 
-    def _start_module(self, process: str, module: str, **arguments: str) -> None:
-        command = [sys.executable, "-m", f"bramleyglade_standins.{module}"]
+    def start_module(self, process: str, module: str, **arguments: str) -> None:
+        """Start a module as a process.
+
+        Args:
+            process: Name of the process, also of its log.
+            module: Name of the module.
+            **arguments: Arguments of its command line.
+        """
+        command = [sys.executable, "-m", module]
         command += [f"--{name}={value}" for name, value in arguments.items()]
         self._spawn(process, command)
 
--- a/packages/standins/src/bramleyglade_standins/target_server.py
+++ b/packages/standins/src/bramleyglade_standins/target_server.py
@@ -10,7 +10,9 @@
 import json
 import random
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 import curio
@@ -32,6 +34,15 @@
 _REPORT_PATH = "/-/report"
 
 
+class TargetStep(Enum):
+    """Where a request is at the target."""
+
+    ARRIVED = "arrived"
+    """It has arrived whole and not yet run."""
+    RAN = "ran"
+    """It has run, and nothing of the answer has been sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetBehaviour:
     """How the target works now."""
@@ -61,6 +72,8 @@
         self.peak_running = 0
         self.overloads = 0
         """Requests that came while more ran than the target could bear."""
+        self.on_step: Callable[[TargetStep], Awaitable[None]] | None = None
+        """Called at each step of a request, so that tests can act just then."""
         self._random = random.Random(seed)
 
     @property
@@ -77,6 +90,7 @@
         if path.startswith("/-/"):
             return self._control(path, request.body)
         request_id = request.head.header("x-request-id")
+        await self._tell_step(TargetStep.ARRIVED)
         self.runs_by_request[request_id] += 1
         self.keys_seen += bool(request.head.header("x-api-key"))
         self.running += 1
@@ -100,11 +114,16 @@
         if self._random.random() < behaviour.error_share:
             return StandInAnswer(500, b"{}")
         self.answered += 1
+        await self._tell_step(TargetStep.RAN)
         body = self._echo(request, request_id)
         if self._random.random() < behaviour.truncate_share:
             return StandInAnswer(200, body[:10], declared_length=len(body))
         return StandInAnswer(200, body)
 
+    async def _tell_step(self, step: TargetStep) -> None:
+        if self.on_step is not None:
+            await self.on_step(step)
+
     def _echo(self, request: StandInRequest, request_id: str) -> bytes:
         plain = {
             "target": self.announced.name,
