Prove the promises on real daemons, and mend what the proofs found

Found by tests that failed first: a planned stop cut the requests in flight, since curio's server ends its connections' tasks with itself (own accept loop); an extended lease that two daemons passed to and fro came to count as the store's own word, so a keeper could have claimed on it (the fresh part is now passed on by itself); a crashed task stayed dead in silence (logged and begun anew). Ruled out: the majority rule, whose state machine test holds.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -70,7 +70,7 @@
   revision @0 :UInt64;
   membersDigest @1 :UInt64;
   leaseSeconds @2 :Float64;
-  isExtended @3 :Bool;
+  freshSeconds @3 :Float64;
   views @4 :List(TargetViewTold);
 }
 
--- a/packages/core/src/bramleyglade_core/decisions/lease.py
+++ b/packages/core/src/bramleyglade_core/decisions/lease.py
@@ -96,18 +96,24 @@
         self._fresh_end = max(self._fresh_end, asked_at + self._settings.term_seconds)
         self._end = max(self._end, self._fresh_end)
 
-    def adopt(self, asked_at: float, seconds: float, is_extended: bool) -> None:
+    @property
+    def fresh_seconds(self) -> float:
+        """Seconds for which the store's own word keeps the lease; 0 if none."""
+        return max(0.0, self._fresh_end - self._clock())
+
+    def adopt(self, asked_at: float, seconds: float, fresh_seconds: float) -> None:
         """Take over what a peer's lease has left; it never grows on the way.
 
         Args:
             asked_at: Time on this process's clock from before the asking.
             seconds: What the peer's lease had left when it answered.
-            is_extended: Whether it rests on the word that the store is away.
+            fresh_seconds: The part of that which rests on the store's own word.
         """
-        end = asked_at + min(seconds, self._settings.term_seconds)
-        self._end = max(self._end, end)
-        if not is_extended:
-            self._fresh_end = max(self._fresh_end, end)
+        term = self._settings.term_seconds
+        self._end = max(self._end, asked_at + min(seconds, term))
+        if fresh_seconds > 0:
+            fresh_end = asked_at + min(fresh_seconds, term)
+            self._fresh_end = max(self._fresh_end, fresh_end)
 
     def extend(self, asked_at: float) -> bool:
         """Extend by the word of a majority that the store is away.
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -54,8 +54,8 @@
     members_digest: int
     lease_seconds: float
     """Time that the sender's lease, on this revision, is still good; 0 if none."""
-    is_extended: bool
-    """Whether the lease rests on the word that the store is away."""
+    fresh_seconds: float
+    """The part of that time that rests on the store's own word; 0 if none."""
     views: tuple[TargetViewTold, ...] = ()
 
 
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
 
 import curio
+from curio.io import Socket
 
 from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_daemon.fleet.keepers import Keepers
@@ -29,6 +31,7 @@
     from bramleyglade_daemon.fleet.context import Context
 
 _BACKLOG = 512
+_CRASH_PAUSE_SECONDS = 1.0
 _STOP_LOOK_SECONDS = 0.05
 _NOTICE_SECONDS = 1.0
 """Time for which a leaving daemon still answers on open connections."""
@@ -36,6 +39,10 @@
 _LOG = logging.getLogger(__name__)
 
 
+Server = Callable[[Socket, Any], Awaitable[None]]
+"""Serves one connection until it ends."""
+
+
 class Daemon:
     """Puts the parts together and runs their tasks."""
 
@@ -75,7 +82,7 @@
             ReportReader(self.guard).run,
             Ejector(self.context, self.guard, self.keepers).run,
         ):
-            self._tasks.append(await curio.spawn(work, daemon=True))
+            self._tasks.append(await curio.spawn(_run_for_ever, work, daemon=True))
         announcer = AnnounceServer(self.context, self.guard)
         await self._listen(settings.peer_address, self.peers.accept)
         await self._listen(settings.announce_address, announcer.serve)
@@ -108,14 +115,37 @@
         while self.front.busy or self.guard.running:
             await curio.sleep(_STOP_LOOK_SECONDS)
 
-    async def _listen(self, address: Address, serve: object) -> curio.Task:
+    async def _listen(self, address: Address, serve: Server) -> curio.Task:
         sock = curio.tcp_server_socket(address.host, address.port, backlog=_BACKLOG)
-        task = await curio.spawn(
-            curio.network.run_server, sock, serve, None, daemon=True
-        )
+        task = await curio.spawn(_accept_all, sock, serve, daemon=True)
         self._tasks.append(task)
         return task
 
     async def _greeted(self, link: Link, said: HelloSaid) -> None:
         await curio.spawn(self.membership.keep_beating, link, daemon=True)
         await self.membership.take_records((said.record,), said.daemon.name)
+
+
+async def _run_for_ever(work: Callable[[], Awaitable[None]]) -> None:
+    """Run a task of the daemon; one that crashes is logged and begun anew."""
+    while True:
+        try:
+            await work()
+        except curio.CancelledError:
+            raise
+        except Exception:
+            _LOG.exception("TaskCrashed", extra={"task": work.__qualname__})
+        await curio.sleep(_CRASH_PAUSE_SECONDS)
+
+
+async def _accept_all(listener: Socket, serve: Server) -> None:
+    """Accept connections until cancelled; those that are open go on."""
+    async with listener:
+        while True:
+            sock, address = await listener.accept()
+            await curio.spawn(_serve_one, sock, address, serve, daemon=True)
+
+
+async def _serve_one(sock: Socket, address: Any, serve: Server) -> None:
+    async with sock:
+        await serve(sock, address)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -80,7 +80,7 @@
             revision=self._context.view.revision,
             members_digest=self._context.directory.digest,
             lease_seconds=lease.remaining_seconds,
-            is_extended=lease.is_extended,
+            fresh_seconds=lease.fresh_seconds,
             views=self._guard.views(),
         )
         await self._answer(link, stream, answer)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -47,7 +47,8 @@
         self.neighbours: frozenset[str] = frozenset()
         """Peers that this daemon keeps links to, whatever its requests need."""
         self.link_by_name: dict[str, Link] = {}
-        self._links: set[Link] = set()
+        self.links: set[Link] = set()
+        """All links, also those beside the one in use for a peer."""
         self._heard_at_by_name: dict[str, float] = {}
         self._used_at_by_name: dict[str, float] = {}
         self._task_by_name: dict[str, curio.Task] = {}
@@ -152,7 +153,7 @@
         """Close all links and end their tasks."""
         for task in self._task_by_name.values():
             await task.cancel(blocking=False)
-        for link in list(self._links):
+        for link in list(self.links):
             await link.close()
 
     def set_neighbours(self, names: list[str]) -> None:
@@ -198,7 +199,7 @@
     async def _run_link(self, sock: Socket) -> None:
         assert self.handler is not None
         link = Link(sock, self.handler)
-        self._links.add(link)
+        self.links.add(link)
         try:
             hello = HelloSaid(
                 PROTOCOL_VERSION, self._context.daemon, self._context.record
@@ -206,7 +207,7 @@
             said = await link.greet(hello)
         except (OSError, FleetError) as error:
             _LOG.info("GreetingFailed", extra={"why": str(error)})
-            self._links.discard(link)
+            self.links.discard(link)
             await sock.close()
             return
         name = said.daemon.name
@@ -216,7 +217,7 @@
                 await self.on_greeted(link, said)
             await link.run()
         finally:
-            self._links.discard(link)
+            self.links.discard(link)
             if self.link_by_name.get(name) is link:
                 del self.link_by_name[name]
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -99,7 +99,7 @@
         if told.revision > view.revision:
             await self.pull(link)
         if told.lease_seconds > 0 and view.is_current(told.revision):
-            self._context.lease.adopt(sent_at, told.lease_seconds, told.is_extended)
+            self._context.lease.adopt(sent_at, told.lease_seconds, told.fresh_seconds)
 
     async def pull(self, link: Link) -> None:
         """Fetch from a peer what this daemon lacks."""
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,253 @@
+"""What must always hold, on real daemons over loopback."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+import curio
+
+from bramleyglade_adapters.http.simple_client import SimpleClient
+from bramleyglade_core.model.announcements import DaemonPhase
+from bramleyglade_core.model.entities import Zone
+from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.model.tickets import Ticket
+from bramleyglade_standins.memory_store import MemoryStore, StoreFaults
+from tests.conftest import KEY, first_ticket
+
+HEADERS = (Header("x-api-key", KEY),)
+
+
+def away_store():
+    """Make a store that one daemon alone can't reach."""
+    store = MemoryStore()
+    store.faults = StoreFaults(is_away=True)
+    return store
+
+
+async def withdraw_key(fleet):
+    team = fleet.daemons[0].context.configuration.team_by_name["studio"]
+    await fleet.desk.apply(Ticket(2, "withdraw", (replace(team, key_hashes=()),)))
+
+
+def keys_in_force(fleet):
+    contexts = [daemon.context for daemon in fleet.daemons]
+    return [key for c in contexts for key in c.configuration.team_by_key_hash]
+
+
+def test_withdrawn_key_stops_an_open_connection(run_fleet):
+    async def scenario(fleet):
+        client = SimpleClient(fleet.settings[1].caller_address)
+        assert (await client.request("GET", "/songs/1", headers=HEADERS)).status == 200
+        await withdraw_key(fleet)
+        await fleet.until(lambda: not keys_in_force(fleet))
+        answer = await client.request("GET", "/songs/1", headers=HEADERS)
+        assert answer.status == 401
+        assert answer.header("x-fleet-verdict") == "not-run"
+        await client.close()
+
+    run_fleet(scenario)
+
+
+def test_daemon_that_is_cut_off_refuses_keyed_work_and_serves_open_routes(run_fleet):
+    async def scenario(fleet):
+        context = fleet.daemons[0].context
+        fleet.blocked.update(frozenset((0, other)) for other in (1, 2))
+        for other in (1, 2):
+            await fleet.cut_links(0, other)
+        context.store = away_store()
+        await fleet.until(lambda: not context.lease.is_valid)
+        answer = await fleet.call(0)
+        assert json.loads(answer.body)["code"] == "configuration-stale"
+        assert (await fleet.call(0, path="/open/x")).status == 200
+        assert fleet.daemons[1].context.lease.is_valid
+        assert (await fleet.call(1)).status == 200
+
+    run_fleet(scenario, daemons=3, zones=3)
+
+
+def test_keyed_work_goes_on_while_the_store_is_away_for_all(run_fleet):
+    async def scenario(fleet):
+        for index in range(3):
+            await fleet.call(index)
+        fleet.store.faults = StoreFaults(is_away=True)
+        for _ in range(10):
+            await curio.sleep(0.5)
+            for index in range(3):
+                assert (await fleet.call(index)).status == 200
+        contexts = [daemon.context for daemon in fleet.daemons]
+        assert all(c.lease.is_valid and c.lease.is_extended for c in contexts)
+        fleet.store.faults = StoreFaults()
+        await fleet.until(lambda: not any(c.lease.is_extended for c in contexts))
+
+    run_fleet(scenario, daemons=3, zones=3)
+
+
+def test_halves_that_both_lack_the_store_both_stop_keyed_work(run_fleet):
+    async def scenario(fleet):
+        fleet.store.faults = StoreFaults(is_away=True)
+        for one in (0, 1):
+            for other in (2, 3):
+                fleet.blocked.add(frozenset((one, other)))
+                await fleet.cut_links(one, other)
+        contexts = [daemon.context for daemon in fleet.daemons]
+        await fleet.until(lambda: not any(c.lease.is_valid for c in contexts))
+        assert (await fleet.call(0)).status == 503
+        assert (await fleet.call(3, path="/open/x")).status == 200
+
+    run_fleet(scenario, daemons=4, zones=2)
+
+
+def test_daemon_replaced_while_the_store_is_away_learns_from_peers(run_fleet):
+    async def scenario(fleet):
+        fleet.store.faults = StoreFaults(is_away=True)
+        await curio.sleep(0.3)
+        await fleet.kill(2)
+        daemon = await fleet.start_daemon(2, seed=5)
+        context = daemon.context
+        await fleet.until(lambda: context.lease.is_valid)
+        assert "studio" in context.configuration.team_by_name
+        await fleet.until(lambda: bool(context.directory.candidates("catalogue")))
+        assert (await fleet.call(2, path="/open/x")).status == 200
+
+    run_fleet(scenario, daemons=3, zones=3)
+
+
+def test_lagging_store_does_not_bring_an_old_configuration_back(run_fleet):
+    async def scenario(fleet):
+        await withdraw_key(fleet)
+        await fleet.until(lambda: not keys_in_force(fleet))
+        fleet.store.faults = StoreFaults(stale_by=3)
+        await fleet.kill(1)
+        await fleet.start_daemon(1, seed=3)
+        await curio.sleep(1.0)
+        for index in (0, 1):
+            assert (await fleet.call(index)).header("x-fleet-verdict") == "not-run"
+        assert not any(target.runs_by_request for target in fleet.targets)
+
+    run_fleet(scenario)
+
+
+def test_zone_taken_out_gets_no_new_work_and_invites_callers_to_move(run_fleet):
+    async def scenario(fleet):
+        await fleet.desk.apply(Ticket(2, "out", (Zone("zone-1", "region-1", False),)))
+        contexts = [daemon.context for daemon in fleet.daemons]
+        await fleet.until(
+            lambda: not any(c.configuration.is_zone_in_use("zone-1") for c in contexts)
+        )
+        before = fleet.targets[1].answered
+        for index in (0, 1):
+            for _ in range(5):
+                answer = await fleet.call(index)
+                assert answer.status == 200
+        assert fleet.targets[1].answered == before
+        assert answer.header("connection") == "close"
+
+    run_fleet(scenario)
+
+
+def test_zone_out_reaches_a_daemon_through_peers_alone(run_fleet):
+    async def scenario(fleet):
+        fleet.daemons[1].context.store = away_store()
+        await fleet.desk.apply(Ticket(2, "out", (Zone("zone-0", "region-1", False),)))
+        context = fleet.daemons[1].context
+        await fleet.until(lambda: not context.configuration.is_zone_in_use("zone-0"))
+
+    run_fleet(scenario)
+
+
+def test_draining_target_gets_no_new_work(run_fleet):
+    async def scenario(fleet):
+        await fleet.daemons[0].guard.drain("target-0")
+        before = fleet.targets[0].answered
+        for index in (0, 1, 0, 1):
+            assert (await fleet.call(index, "POST", body=b"x")).status == 200
+        assert fleet.targets[0].answered == before
+
+    run_fleet(scenario)
+
+
+def test_planned_stop_cuts_no_request_and_hands_over(run_fleet):
+    async def scenario(fleet):
+        for target in fleet.targets:
+            target.behaviour = replace(target.behaviour, work_seconds=0.5)
+        tasks = [
+            await curio.spawn(fleet.call, index, "POST", "/songs/x", b"body")
+            for index in (0, 1, 0, 1)
+        ]
+        await curio.sleep(0.2)
+        await fleet.daemons[1].stop()
+        answers = [await task.join() for task in tasks]
+        assert [answer.status for answer in answers] == [200] * 4
+        context = fleet.daemons[0].context
+        assert context.directory.record_by_name["vm-1"].phase is DaemonPhase.GONE
+        await fleet.until(
+            lambda: all(
+                assignment.keeper == context.daemon
+                for assignment in context.view.assignment_by_shard.values()
+            )
+        )
+        answer = await fleet.call(0)
+        assert answer.status == 200
+
+    run_fleet(scenario)
+
+
+def test_team_gets_no_more_than_rate_and_burst_over_all_daemons(run_fleet):
+    async def scenario(fleet):
+        codes = []
+
+        async def flood(index):
+            for _ in range(60):
+                codes.append((await fleet.call(index)).status)
+
+        started_at = fleet.daemons[0].context.clock()
+        tasks = [await curio.spawn(flood, index) for index in (0, 1, 2)]
+        for task in tasks:
+            await task.join()
+        seconds = fleet.daemons[0].context.clock() - started_at
+        assert codes.count(200) <= 5 * seconds + 10
+        assert codes.count(200) >= 10
+        assert set(codes) == {200, 429}
+
+    run_fleet(scenario, daemons=3, zones=3, ticket=first_ticket(3, rate=5.0, burst=10))
+
+
+def test_keeper_that_dies_is_replaced_after_the_waits(run_fleet):
+    async def scenario(fleet):
+        for index in (0, 1, 2):
+            await fleet.call(index)
+        context = fleet.daemons[0].context
+        await fleet.kill(2)
+        await fleet.until(
+            lambda: all(
+                assignment.keeper.name != "vm-2"
+                for assignment in context.view.assignment_by_shard.values()
+            )
+        )
+        client = SimpleClient(fleet.settings[0].caller_address)
+        for _ in range(200):
+            answer = await client.request("GET", "/songs/1", headers=HEADERS)
+            if answer.status == 200:
+                break
+            await curio.sleep(0.1)
+        assert answer.status == 200
+
+    run_fleet(scenario, daemons=3, zones=3)
+
+
+def test_gray_target_is_ejected_while_the_floor_allows(run_fleet):
+    async def scenario(fleet):
+        fleet.targets[0].behaviour = replace(
+            fleet.targets[0].behaviour, error_share=1.0
+        )
+        runner = fleet.daemons[0].guard.runner_by_name["target-0"]
+        for _ in range(100):
+            await fleet.call(0)
+            if runner.view().is_ejected:
+                break
+        assert runner.view().is_ejected
+        answers = [await fleet.call(index) for index in (0, 1, 0, 1)]
+        assert [answer.status for answer in answers] == [200] * 4
+
+    run_fleet(scenario, daemons=2)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,76 @@
+"""Path rules and routes."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleyglade_core.decisions.routing import Router, check_headers, check_path
+from bramleyglade_core.model.entities import Route
+from bramleyglade_core.model.errors import BadRequest, ErrorCode, RouteRefused
+from bramleyglade_core.model.exchange import Header
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        "/a/../b",
+        "/a/./b",
+        "/a%2fb",
+        "/a%2Eb",
+        "/a//b",
+        "/a\\b",
+        "/a;x=1/b",
+        "http://host/a",
+        "*",
+        "/a%00",
+        "/caf\u00e9",
+        "/a%252fb",
+    ],
+)
+def test_ambiguous_path_is_refused(target):
+    with pytest.raises(BadRequest):
+        check_path(target)
+
+
+@pytest.mark.parametrize("target", ["/", "/a", "/a/b.c?x=..%2f", "/a%20b", "/..a/b."])
+def test_plain_path_is_taken(target):
+    assert check_path(target) == target.partition("?")[0]
+
+
+def test_reserved_header_is_refused():
+    with pytest.raises(BadRequest) as caught:
+        check_headers([Header("x-fleet-deadline-seconds", "1")])
+    assert caught.value.code is ErrorCode.RESERVED_HEADER
+
+
+def test_prefix_matches_whole_segments_only():
+    router = Router([Route("songs", "s", "/songs"), Route("all", "s", "/")])
+    assert router.match("GET", "/songs").name == "songs"
+    assert router.match("GET", "/songs/1").name == "songs"
+    assert router.match("GET", "/songster").name == "all"
+
+
+def test_method_that_no_route_takes_is_told_apart():
+    router = Router([Route("songs", "s", "/songs", methods=("GET",))])
+    with pytest.raises(RouteRefused) as caught:
+        router.match("POST", "/songs/1")
+    assert caught.value.code is ErrorCode.METHOD_NOT_ALLOWED
+
+
+_segments = st.lists(st.sampled_from(["a", "b", "c"]), min_size=1, max_size=4)
+
+
+@given(prefixes=st.lists(_segments, min_size=1, max_size=6), path=_segments)
+def test_router_agrees_with_a_walk_over_all_routes(prefixes, path):
+    names = dict.fromkeys("/" + "/".join(prefix) for prefix in prefixes)
+    routes = [Route(f"r{i}", "s", prefix) for i, prefix in enumerate(names)]
+    text = "/" + "/".join(path)
+    fitting = [r for r in routes if (text + "/").startswith(r.path_prefix + "/")]
+    expected = max(fitting, key=lambda r: len(r.path_prefix), default=None)
+    try:
+        found = Router(routes).match("GET", text)
+    except RouteRefused:
+        found = None
+    assert found == expected
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,200 @@
+"""Shares of a team's rate: exact for every window, whatever is lost or late."""
+
+from __future__ import annotations
+
+import random
+
+from benchmarks.limiter import (
+    KeeperModel,
+    ideal,
+    make_arrivals,
+    worst_excess,
+    wrongful_share,
+)
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
+from bramleyglade_core.decisions.share_holding import ShareHolding
+from bramleyglade_core.decisions.share_keeper import TeamBook
+from bramleyglade_core.model.announcements import KeeperAssignment
+from bramleyglade_core.model.entities import Team
+from bramleyglade_core.model.identifiers import DaemonId
+from bramleyglade_core.model.settings import LimitSettings
+from bramleyglade_core.model.shares import SHARE_UNITS
+
+LIMITS = LimitSettings(slice_term_seconds=4.0, renew_seconds=0.5)
+TEAM = Team("team", 20.0, 40)
+OLD = DaemonId("old", 1)
+NEW = DaemonId("new", 1)
+
+
+def holding(name="vm"):
+    return ShareHolding(DaemonId(name, 1), LIMITS)
+
+
+def demand(holder, now, count=60):
+    for _ in range(count):
+        holder.note_arrival(now)
+
+
+def admit_all(holder, now):
+    count = 0
+    while holder.try_admit(TEAM, now):
+        count += 1
+    return count
+
+
+_steps = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.sampled_from(["ask", "lose ask", "lose answer", "late", "repeat", "spend"]),
+        st.floats(0.0, 1.5),
+    ),
+    max_size=80,
+)
+
+
+@given(steps=_steps)
+def test_no_window_exceeds_the_rate_whatever_is_lost_late_or_repeated(steps):
+    book = TeamBook(LIMITS, float(TEAM.burst), 0.0)
+    holders = [holding(f"vm-{i}") for i in range(3)]
+    late = []
+    now, times = 0.0, []
+    for index, kind, seconds in steps:
+        now += seconds
+        holder = holders[index]
+        demand(holder, now, 8)
+        if kind == "spend":
+            times += [now] * admit_all(holder, now)
+            continue
+        asked = holder.ask(TEAM, now, 2)
+        if kind == "lose ask":
+            holder.give_up_ask(now)
+            continue
+        granted = book.answer(asked, TEAM, now, False)
+        if kind == "lose answer":
+            holder.give_up_ask(now)
+        elif kind == "late":
+            holder.give_up_ask(now)
+            late.append((holder, granted))
+        else:
+            holder.credit(granted, TEAM, now)
+            if kind == "repeat":
+                assert book.answer(asked, TEAM, now, False) is None
+                holder.credit(granted, TEAM, now)
+        for other, answer in late:
+            other.credit(answer, TEAM, now)
+        assert book.held_units <= SHARE_UNITS
+    for holder in holders:
+        times += [now] * admit_all(holder, now)
+    assert worst_excess(TEAM, times) <= 1e-6
+
+
+@given(seed=st.integers(0, 50), pattern=st.sampled_from(["even", "skewed", "moving"]))
+def test_model_with_delays_never_exceeds_the_ideal_rate(seed, pattern):
+    team = Team("team", 30.0, 20)
+    randomness = random.Random(seed)
+    arrivals = make_arrivals(pattern, 60.0, 5, randomness)[:800]
+    model = KeeperModel(team, 5, LIMITS, is_keeper_lost=bool(seed % 2))
+    model.run(arrivals)
+    assert worst_excess(team, sorted(model.admitted_at.values())) <= 1e-6
+
+
+def test_even_and_skewed_arrivals_within_the_rate_are_admitted():
+    team = Team("team", 200.0, 200)
+    for pattern, bound in (("even", 0.001), ("skewed", 0.01)):
+        arrivals = make_arrivals(pattern, 160.0, 20, random.Random(1))
+        admitted = KeeperModel(team, 20, LimitSettings()).run(arrivals)
+        assert wrongful_share(admitted, ideal(team, arrivals)) < bound
+
+
+def test_share_lapses_at_its_term_even_after_a_pause(clock):
+    holder = holding()
+    book = TeamBook(LIMITS, float(TEAM.burst), clock.now)
+    demand(holder, clock.now)
+    granted = book.answer(holder.ask(TEAM, clock.now, 1), TEAM, clock.now, False)
+    holder.credit(granted, TEAM, clock.now)
+    assert holder.units
+    clock.advance(LIMITS.slice_term_seconds + 0.1)
+    assert not holder.try_admit(TEAM, clock.now)
+
+
+def test_extension_lengthens_only_an_unbroken_term(clock):
+    holder = holding()
+    holder.units, holder.term_end = 1000, clock.now + 1.0
+    holder.extend(clock.now, clock.now + 5.0)
+    assert holder.term_end == clock.now + 5.0
+    clock.advance(6.0)
+    holder.extend(clock.now, clock.now + 5.0)
+    assert holder.term_end < clock.now
+
+
+def test_rate_lowered_by_a_ticket_shrinks_every_share_at_once(clock):
+    holder = holding()
+    holder.units, holder.level = SHARE_UNITS, 5.0
+    holder.term_end = clock.now + 100
+    holder._refilled_at = clock.now
+    lowered = Team("team", 1.0, 2)
+    assert sum(holder.try_admit(lowered, clock.now) for _ in range(10)) == 1
+
+
+def make_keeper(settings, clock, epoch=2):
+    return ShardKeeper(KeeperAssignment(0, NEW, epoch), settings, clock.now)
+
+
+def ask_of(holder, clock):
+    demand(holder, clock.now)
+    return holder.ask(TEAM, clock.now, 1)
+
+
+def test_new_keeper_waits_then_collects_then_grants(settings, clock):
+    keeper = make_keeper(settings, clock)
+    teams = {TEAM.name: TEAM}
+    known = ShareHolding(OLD, settings.limits)
+    known.units, known.term_end = 500_000, clock.now + 100
+    assert not keeper.answer(ask_of(known, clock), TEAM, clock.now).is_known
+    keeper.confirm(teams, clock.now)
+    assert keeper.phase is KeeperPhase.WAITING
+    clock.advance(keeper.lease_wait_seconds)
+    keeper.confirm(teams, clock.now)
+    granted = keeper.answer(ask_of(known, clock), TEAM, clock.now)
+    assert granted.is_known
+    assert granted.booked_units == 500_000
+    assert granted.added_units == 0
+    stranger = ShareHolding(NEW, settings.limits)
+    assert keeper.answer(ask_of(stranger, clock), TEAM, clock.now).added_units == 0
+    clock.advance(settings.limits.slice_term_seconds + 1.0)
+    keeper.confirm(teams, clock.now)
+    assert keeper.phase is KeeperPhase.GRANTING
+
+
+def test_share_that_was_not_confirmed_in_time_is_void(settings, clock):
+    keeper = make_keeper(settings, clock)
+    for _ in range(2):
+        clock.advance(settings.limits.slice_term_seconds + keeper.lease_wait_seconds)
+        keeper.confirm({TEAM.name: TEAM}, clock.now)
+    late = ShareHolding(OLD, settings.limits)
+    late.units, late.term_end = 900_000, clock.now + 0.1
+    granted = keeper.answer(ask_of(late, clock), TEAM, clock.now)
+    assert granted.booked_units == 0
+
+
+def test_handed_over_book_needs_no_wait(settings, clock):
+    leaving = make_keeper(settings, clock, epoch=1)
+    holder = ShareHolding(OLD, settings.limits)
+    granted = leaving.answer(ask_of(holder, clock), TEAM, clock.now)
+    holder.credit(granted, TEAM, clock.now)
+    assert holder.units
+    successor = make_keeper(settings, clock)
+    successor.take_over_book(leaving.hand_over(epoch=2), clock.now)
+    assert successor.phase is KeeperPhase.GRANTING
+    granted = successor.answer(ask_of(holder, clock), TEAM, clock.now)
+    assert granted.booked_units == holder.units
+
+
+def test_book_of_another_epoch_is_not_taken(settings, clock):
+    leaving = make_keeper(settings, clock, epoch=1)
+    successor = make_keeper(settings, clock, epoch=3)
+    successor.take_over_book(leaving.hand_over(epoch=2), clock.now)
+    assert successor.phase is KeeperPhase.WAITING
