Try higher limits of a cold target before keeping them

Cause: the ramp grew by one for each run of good answers, whatever they took, and overran targets that warm up slowly. A higher limit is now on trial: if latency grows with it, it is given up and tried again later.

--- a/packages/core/src/bramleyglade_core/decisions/ramp.py
+++ b/packages/core/src/bramleyglade_core/decisions/ramp.py
@@ -2,31 +2,50 @@
 
 from __future__ import annotations
 
-_STEP_RATIO = 3.0
-"""Latency, as a multiple of the warm one, that counts as having turned cold."""
+import math
 
-_STEP_ANSWERS = 3
-"""Slow answers in a row that show a step and not an outlier."""
+_ANSWERS_PER_STEP = 6
+"""Answers at one limit before the next one is tried."""
 
-_WARM_WEIGHT = 0.1
-"""Weight of a new answer in the warm latency."""
+_MOST_ANSWERS_PER_STEP = 96
+"""The same after limits that the target did not bear; doubles up to here."""
+
+_STEP_SHARE = 4
+"""A step is this part of the limit, and at least one request."""
+
+_TRIAL_SLACK = 0.2
+"""Growth of log latency that a higher limit may bring."""
+
+_TRIAL_BOUND = 1.0
+"""Sum of log latency beyond the slack at which a higher limit is given up."""
+
+_STEADY_SLACK = 0.4
+"""Growth of log latency that is taken for noise at a limit that was borne."""
+
+_STEADY_BOUND = 2.5
+"""Sum of log latency beyond the slack that shows that the target turned cold."""
+
+_LEVEL_WEIGHT = 0.1
+"""Weight of a new answer in the log latency of a limit that was borne."""
 
 
 class ConcurrencyRamp:
     """Requests that a target may run at once, from one up to its slots.
 
-    The limit grows by one for each run of good answers as long as the limit,
-    so that it doubles in about two such runs at most and never jumps. A
-    restart, a failure or a step in latency takes it back.
+    A higher limit is on trial first: if latency grows with it, the target does
+    not bear it yet, and the ramp goes back and waits for twice as many answers.
+    At a limit that was borne, a lasting step in latency or a failure halves it.
     """
 
     def __init__(self, slots: int) -> None:
         self._slots = slots
         self.limit = 1
         """Requests that may run at once now."""
-        self._good_answers = 0
-        self._slow_answers = 0
-        self._warm_seconds: float | None = None
+        self._borne_limit = 1
+        self._level: float | None = None
+        self._answers = 0
+        self._needed = _ANSWERS_PER_STEP
+        self._excess = 0.0
 
     @property
     def is_warm(self) -> bool:
@@ -39,48 +58,56 @@
         Args:
             seconds: Time from the first byte sent to the answer's head.
         """
-        if self._is_step(seconds):
-            self._back_off()
-            return
-        if self._slow_answers:
-            return
-        self._follow(seconds)
-        self._good_answers += 1
-        if self._good_answers >= self.limit and self.limit < self._slots:
-            self.limit += 1
-            self._good_answers = 0
+        log_latency = math.log(max(seconds, 1e-5))
+        if self._level is None:
+            self._level = log_latency
+        excess = log_latency - self._level
+        self._answers += 1
+        if self._borne_limit < self.limit:
+            self._note_trial(excess)
+        else:
+            self._note_steady(excess)
 
     def note_bad(self) -> None:
         """Take in a failure or an overdue answer."""
-        self._back_off()
+        self._go_back(max(1, self.limit // 2))
 
     def restart(self) -> None:
         """Begin anew: the target has restarted."""
-        self.limit = 1
-        self._good_answers = 0
-        self._slow_answers = 0
-        self._warm_seconds = None
-
-    def _is_step(self, seconds: float) -> bool:
-        if self._warm_seconds is None or seconds < _STEP_RATIO * self._warm_seconds:
-            self._slow_answers = 0
-            return False
-        self._slow_answers += 1
-        return self._slow_answers >= _STEP_ANSWERS
-
-    def _follow(self, seconds: float) -> None:
-        if self._warm_seconds is None:
-            self._warm_seconds = seconds
+        self._level = None
+        self._needed = _ANSWERS_PER_STEP
+        self._go_back(1)
+
+    def _note_trial(self, excess: float) -> None:
+        self._excess += excess - _TRIAL_SLACK
+        if self._excess > _TRIAL_BOUND:
+            self._needed = min(2 * self._needed, _MOST_ANSWERS_PER_STEP)
+            self._go_back(self._borne_limit)
+        elif self._answers >= _ANSWERS_PER_STEP:
+            self._borne_limit = self.limit
+            self._needed = max(self._needed // 2, _ANSWERS_PER_STEP)
+            self._start_count()
+
+    def _note_steady(self, excess: float) -> None:
+        assert self._level is not None
+        self._excess = max(0.0, self._excess + excess - _STEADY_SLACK)
+        if self._excess > _STEADY_BOUND:
+            # The level is learnt anew, or a target that stays slower never grows.
+            self._level = None
+            self._go_back(max(1, self.limit // 2))
             return
-        # A target that warms up gets faster: follow down fast, up slowly.
-        weight = 0.5 if seconds < self._warm_seconds else _WARM_WEIGHT
-        self._warm_seconds += weight * (seconds - self._warm_seconds)
-
-    def _back_off(self) -> None:
-        self.limit = max(1, self.limit // 2)
-        self._good_answers = 0
-        if self._slow_answers >= _STEP_ANSWERS:
-            self._slow_answers = 0
-            # Learn the new level, or a target that stays slower never grows.
-            if self.limit == 1:
-                self._warm_seconds = None
+        self._level += _LEVEL_WEIGHT * excess
+        if self._answers >= self._needed and not self.is_warm:
+            self.limit = min(
+                self._slots, self.limit + max(1, self.limit // _STEP_SHARE)
+            )
+            self._start_count()
+
+    def _go_back(self, limit: int) -> None:
+        self.limit = limit
+        self._borne_limit = min(self._borne_limit, limit)
+        self._start_count()
+
+    def _start_count(self) -> None:
+        self._answers = 0
+        self._excess = 0.0
