--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -101,7 +101,7 @@
         f"{_CORE}/admission.py",
         "if not is_lease_valid:",
         "if False:",
-        "tests/test_promises.py -k 'cut_off or halves'",
+        "tests/test_admission.py",
     ),
     Mutation(
         "configuration never reverts: the highest ticket wins",
@@ -150,14 +150,14 @@
         f"{_CORE}/directory.py",
         "if configuration.is_zone_in_use(z)}",
         "}",
-        "tests/test_promises.py -k zone",
+        "tests/test_admission.py",
     ),
     Mutation(
         "a leaving target gets no new work",
         f"{_DAEMON}/guard/target_runner.py",
         "if self.announced.is_draining:",
         "if False:",
-        "tests/test_promises.py -k draining",
+        "tests/test_path.py -k draining",
     ),
     Mutation(
         "a planned stop cuts no request",
--- a/packages/core/src/bramleyglade_core/decisions/ramp.py
+++ b/packages/core/src/bramleyglade_core/decisions/ramp.py
@@ -43,6 +43,7 @@
         """Requests that may run at once now."""
         self._borne_limit = 1
         self._level: float | None = None
+        self._level_answers = 0
         self._answers = 0
         self._needed = _ANSWERS_PER_STEP
         self._excess = 0.0
@@ -61,6 +62,7 @@
         log_latency = math.log(max(seconds, 1e-5))
         if self._level is None:
             self._level = log_latency
+            self._level_answers = 0
         excess = log_latency - self._level
         self._answers += 1
         if self._borne_limit < self.limit:
@@ -96,7 +98,9 @@
             self._level = None
             self._go_back(max(1, self.limit // 2))
             return
-        self._level += _LEVEL_WEIGHT * excess
+        # A plain mean at first: one odd answer must not set the level.
+        self._level_answers += 1
+        self._level += max(_LEVEL_WEIGHT, 1.0 / self._level_answers) * excess
         if self._answers >= self._needed and not self.is_warm:
             self.limit = min(
                 self._slots, self.limit + max(1, self.limit // _STEP_SHARE)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,116 @@
+"""Who may send a request, and which targets it may go to."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleyglade_core.decisions.admission import authenticate, hash_key
+from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.decisions.directory import Directory, RoutableTargets
+from bramleyglade_core.decisions.picker import Picker
+from bramleyglade_core.model.announcements import (
+    DaemonPhase,
+    MemberRecord,
+    TargetAnnouncement,
+)
+from bramleyglade_core.model.entities import Route, Service, Team, Zone
+from bramleyglade_core.model.errors import ErrorCode, KeyRefused
+from bramleyglade_core.model.identifiers import Address, DaemonId
+from bramleyglade_core.model.peer_messages import TargetViewTold
+from bramleyglade_core.model.tickets import Ticket
+
+ADDRESS = Address("127.0.0.1", 80)
+SERVICE = Service("s", ("z0", "z1"))
+TEAM = Team("t", 1.0, 1, (hash_key("k"),))
+ENTITIES = (Zone("z0", "r"), Zone("z1", "r", in_use=False), SERVICE, TEAM)
+CONFIGURATION = EMPTY_CONFIGURATION.merged(Ticket(1, "", ENTITIES).states())
+KEYED = Route("keyed", "s", "/")
+
+
+def record(number, sequence=1, **changes):
+    announced = TargetAnnouncement(f"t{number}", "s", ADDRESS, 4, **changes)
+    return MemberRecord(
+        DaemonId(f"vm-{number}", 1),
+        sequence,
+        ADDRESS,
+        f"z{number % 2}",
+        DaemonPhase.SERVING,
+        (announced,),
+    )
+
+
+def test_daemon_without_a_lease_refuses_keyed_work_only():
+    with pytest.raises(KeyRefused) as caught:
+        authenticate(CONFIGURATION, KEYED, "k", is_lease_valid=False)
+    assert caught.value.code is ErrorCode.CONFIGURATION_STALE
+    opened = Route("open", "s", "/", open_to_all=True)
+    assert authenticate(CONFIGURATION, opened, "k", is_lease_valid=False) is None
+
+
+def test_key_is_good_for_its_team_and_the_routes_that_name_it():
+    assert authenticate(CONFIGURATION, KEYED, "k", is_lease_valid=True) == TEAM
+    others = Route("others", "s", "/", teams=("someone",))
+    with pytest.raises(KeyRefused) as caught:
+        authenticate(CONFIGURATION, others, "k", is_lease_valid=True)
+    assert caught.value.code is ErrorCode.KEY_NOT_ALLOWED
+
+
+def test_targets_in_zones_out_of_use_are_not_routable():
+    directory = Directory()
+    routable = RoutableTargets(directory)
+    for number in range(4):
+        directory.merge(record(number))
+    found = routable.find(SERVICE, CONFIGURATION)
+    assert {c.zone for c in found} == {"z0"}
+    back = CONFIGURATION.merged(Ticket(2, "", (Zone("z1", "r"),)).states())
+    assert len(routable.find(SERVICE, back)) == 4
+    directory.merge(record(0, sequence=2, is_draining=True))
+    assert len(routable.find(SERVICE, back)) == 3
+
+
+def test_newer_word_of_a_suspected_daemon_refutes_the_suspicion():
+    directory = Directory()
+    directory.merge(record(0))
+    assert directory.suspect("vm-0")
+    assert not directory.is_live("vm-0")
+    directory.merge(record(0, sequence=2))
+    assert directory.is_live("vm-0")
+
+
+_views = st.lists(
+    st.tuples(st.integers(1, 4), st.integers(0, 9), st.booleans()),
+    min_size=2,
+    max_size=9,
+)
+
+
+@given(views=_views, seed=st.integers(0, 99))
+def test_picker_never_prefers_an_ejected_target_to_a_healthy_one(views, seed):
+    directory = Directory()
+    picker = Picker("z0", random.Random(seed))
+    for number, (limit, busy, is_ejected) in enumerate(views):
+        directory.merge(record(number))
+        view = TargetViewTold(f"t{number}", "s", limit, busy, is_ejected, False)
+        picker.take_views(f"vm-{number}", [view])
+    candidates = directory.candidates("s")
+    chosen = picker.pick(candidates, frozenset(), 0.0)
+    assert chosen is not None
+    is_any_healthy = any(not is_ejected for _, _, is_ejected in views)
+    number = int(chosen.target.daemon.removeprefix("vm-"))
+    assert not (is_any_healthy and views[number][2])
+
+
+def test_picker_avoids_at_most_half_of_a_service_on_its_own_word():
+    directory = Directory()
+    picker = Picker("z0", random.Random(1))
+    for number in range(4):
+        directory.merge(record(number))
+    candidates = directory.candidates("s")
+    for candidate in candidates:
+        picker.avoid(candidate.target, len(candidates), 0.0)
+    picked = {picker.pick(candidates, frozenset(), 0.1).target for _ in range(100)}
+    assert len(picked) == 2
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -10,11 +10,11 @@
 import pytest
 
 from bramleyglade_adapters.http.simple_client import AnswerLost, SimpleClient
+from bramleyglade_core.model.errors import ErrorCode
 from bramleyglade_core.model.exchange import AttemptOffered, Header
 from bramleyglade_core.model.identifiers import AttemptId, DaemonId
 from bramleyglade_core.model.verdict import Verdict
 from bramleyglade_daemon.guard.guard import LocalGuardPort
-from bramleyglade_standins.http_server import StandInAnswer, listen
 from bramleyglade_standins.local_fleet import free_address
 
 
@@ -95,13 +95,17 @@
 
 
 def test_large_answer_that_breaks_off_is_not_passed_off_as_whole(run_fleet):
-    async def scenario(fleet):
-        async def truncated(request):
-            body = bytes(200_000)
-            return StandInAnswer(200, body, declared_length=len(body) + 1)
+    """Chunked, so that no length tells the caller; only the reset does."""
+
+    async def break_off(sock, _):
+        await sock.recv(65_536)
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        await sock.sendall(head + b"%x\r\n" % 200_000 + bytes(200_000) + b"\r\n")
 
+    async def scenario(fleet):
         address = free_address()
-        await listen(address, truncated)
+        server = curio.tcp_server(address.host, address.port, break_off)
+        await curio.spawn(server, daemon=True)
         announced = replace(fleet.targets[0].announced, address=address)
         await fleet.announcers[0].cancel()
         await fleet.daemons[0].guard.announce(announced)
@@ -112,6 +116,21 @@
     run_fleet(scenario, daemons=1, zones=1)
 
 
+def test_guard_refuses_work_for_a_draining_target(run_fleet):
+    """Whatever fronts believe, the guard has the last word."""
+
+    async def scenario(fleet):
+        guard = fleet.daemons[0].guard
+        await guard.drain("target-0")
+        stream = await LocalGuardPort(guard, 65_536).offer(write_attempt("late"))
+        told = await stream.receive()
+        assert told.code is ErrorCode.TARGET_DRAINING
+        assert told.verdict is Verdict.NOT_RUN
+        assert fleet.runs("late") == 0
+
+    run_fleet(scenario, daemons=1, zones=1)
+
+
 def write_attempt(request_id):
     """Make a non-idempotent attempt for the target of the first VM."""
     return AttemptOffered(
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -171,7 +171,7 @@
 def test_planned_stop_cuts_no_request_and_hands_over(run_fleet):
     async def scenario(fleet):
         for target in fleet.targets:
-            target.behaviour = replace(target.behaviour, work_seconds=0.5)
+            target.behaviour = replace(target.behaviour, work_seconds=2.0)
         tasks = [
             await curio.spawn(fleet.call, index, "POST", "/songs/x", b"body")
             for index in (0, 1, 0, 1)
