--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -23,6 +23,7 @@
     RecordsTold,
     SightAsked,
     SuspicionTold,
+    TargetViewTold,
 )
 from bramleyglade_core.model.shares import BookHandedOver, ShareAsked, ShareRecalled
 from bramleyglade_daemon.streams import GuardStream, LinkPoster
@@ -35,6 +36,12 @@
     from bramleyglade_daemon.fleet.shared_state import SharedState
     from bramleyglade_daemon.guard.guard import Guard
 
+_RECORDS_PER_MESSAGE = 200
+"""Member records in one message; well below what a link takes."""
+
+_USE_SECONDS = 10.0
+"""Time for which a peer that sent work here is told of load and health."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -60,6 +67,7 @@
         self._shared = shared
         self._keepers = keepers
         self._guard = guard
+        self._offered_at_by_peer: dict[str, float] = {}
 
     async def handle(self, link: Link, stream: int, message: Any) -> None:
         """Take in the first message of a stream."""
@@ -81,7 +89,7 @@
             members_digest=self._context.directory.digest,
             lease_seconds=lease.remaining_seconds,
             fresh_seconds=lease.fresh_seconds,
-            views=self._guard.views(),
+            views=self._views_for(link),
         )
         await self._answer(link, stream, answer)
 
@@ -97,7 +105,11 @@
     @_handle.register
     async def _(self, message: RecordsAsked, link: Link, stream: int) -> None:
         records = tuple(self._context.directory.record_by_name.values())
-        await self._answer(link, stream, RecordsTold(records))
+        size = _RECORDS_PER_MESSAGE
+        pieces = [records[i : i + size] for i in range(0, len(records), size)]
+        for piece in pieces[1:]:
+            await link.tell(RecordsTold(piece))
+        await self._answer(link, stream, RecordsTold(pieces[0]))
 
     @_handle.register
     async def _(self, message: RecordsTold, link: Link, stream: int) -> None:
@@ -137,6 +149,8 @@
 
     @_handle.register
     async def _(self, message: AttemptOffered, link: Link, stream: int) -> None:
+        assert link.peer is not None
+        self._offered_at_by_peer[link.peer.daemon.name] = self._context.clock()
         await self._guard.accept(message, self._guard_stream(link, stream))
 
     @_handle.register
@@ -145,6 +159,16 @@
         tell = self._guard.outcomes.tell
         await curio.spawn(tell, message.offered, guard_stream, daemon=True)
 
+    def _views_for(self, link: Link) -> tuple[TargetViewTold, ...]:
+        """Return views for a peer that sends work here, or may soon."""
+        assert link.peer is not None
+        now = self._context.clock()
+        used_at = self._offered_at_by_peer.get(link.peer.daemon.name, -_USE_SECONDS)
+        is_small = len(self._context.directory.record_by_name) <= 2 * (
+            self._context.settings.peers.fanout
+        )
+        return self._guard.views() if is_small or now - used_at < _USE_SECONDS else ()
+
     def _guard_stream(self, link: Link, stream: int) -> GuardStream:
         window = self._context.settings.peers.window_bytes
         guard_stream = GuardStream(LinkPoster(link, stream, is_answer=True), window)
--- /dev/null
+++ b/tests/faults/test_paused.py
@@ -0,0 +1,72 @@
+"""Daemons paused by the operating system, as processes of their own."""
+
+from __future__ import annotations
+
+import random
+import signal
+
+import curio
+import pytest
+
+from bramleyglade_standins.caller import Caller, CallerSettings
+from bramleyglade_standins.demo import apply_ticket
+from bramleyglade_standins.processes import FleetPlan, ProcessFleet
+
+PLAN = FleetPlan(daemons=3, zones=3, services=("catalogue",), first_port=26_000)
+SECONDS = 14.0
+PAUSE_SECONDS = 9.0
+"""Longer than a lease and a suspicion."""
+
+
+async def run_with_pause(paused, method):
+    """Send requests to all daemons while one is paused for a while."""
+    fleet = ProcessFleet(PLAN)
+    fleet.start()
+    try:
+        apply_ticket(fleet, {"studio": 200.0})
+        await fleet.wait_ready()
+        settings = CallerSettings(
+            team="studio",
+            key="key-of-studio",
+            path="/catalogue/x",
+            addresses=tuple(fleet.caller_address(i) for i in range(3)),
+            requests_per_second=10.0,
+            method=method,
+        )
+        callers = [Caller(settings, random.Random(seed)) for seed in range(6)]
+        tasks = [await curio.spawn(caller.run, SECONDS) for caller in callers]
+        await curio.sleep(2.0)
+        fleet.processes[f"vm-{paused}"].send_signal(signal.SIGSTOP)
+        await curio.sleep(PAUSE_SECONDS)
+        fleet.processes[f"vm-{paused}"].send_signal(signal.SIGCONT)
+        for task in tasks:
+            await task.join()
+        await curio.sleep(1.0)
+        runs = {}
+        for index in range(3):
+            told = await fleet.ask(fleet.target_address(index, 0), "/-/counts")
+            for request_id, count in told["runs"].items():
+                runs[request_id] = runs.get(request_id, 0) + count
+        return runs, [outcome for caller in callers for outcome in caller.outcomes]
+    finally:
+        for process in fleet.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+        fleet.stop()
+
+
+@pytest.mark.full
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_paused_daemon_breaks_no_promise(record_property, method):
+    runs, outcomes = curio.run(run_with_pause, 1, method)
+    record_property("faults", "DaemonPaused")
+    record_property("step", method)
+    twice = [key for key, count in runs.items() if count > 1]
+    untrue = [o for o in outcomes if o.verdict == "not-run" and runs.get(o.request_id)]
+    wrong = [o for o in outcomes if o.code == "wrong"]
+    record_property("broken", [len(twice), len(untrue), len(wrong)])
+    record_property("served", sum(o.code == "ok" for o in outcomes))
+    assert method == "GET" or not twice
+    assert not untrue
+    assert not wrong
+    assert sum(o.code == "ok" for o in outcomes) > 100
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -189,3 +189,36 @@
         assert b'"path": "/open/x"' in answer
 
     run_fleet(scenario, daemons=1, zones=1)
+
+
+def test_forgotten_connection_carries_no_non_idempotent_work(run_fleet):
+    """Something between the ends has lost track of an open, idle connection."""
+    body = b'{"way": "new"}'
+    answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
+    is_forgotten = []
+    received = []
+
+    async def serve(sock, _):
+        is_old = not is_forgotten
+        while data := await sock.recv(65_536):
+            if is_old and is_forgotten:
+                await curio.sleep(30)
+            received.append(data.split(b" ")[0])
+            await sock.sendall(answer)
+
+    async def scenario(fleet):
+        address = free_address()
+        server = curio.tcp_server(address.host, address.port, serve)
+        await curio.spawn(server, daemon=True)
+        await fleet.announcers[0].cancel()
+        guard = fleet.daemons[0].guard
+        await guard.announce(replace(fleet.targets[0].announced, address=address))
+        runner = guard.runner_by_name["target-0"]
+        runner.settings = replace(runner.settings, idle_bound_seconds=0.1)
+        assert (await fleet.call()).status == 200
+        is_forgotten.append(True)
+        await curio.sleep(0.3)
+        assert (await fleet.call(method="POST")).status == 200
+        assert received.count(b"POST") == 1
+
+    run_fleet(scenario, daemons=1, zones=1)
