--- a/packages/core/src/bramleyglade_core/decisions/directory.py
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,13 @@
     from bramleyglade_core.model.entities import Service
 
 
+ABSENT_SECONDS = 3600.0
+"""Time after which a member that left, or answers nobody, is forgotten."""
+
+_MOST_FORGOTTEN = 20_000
+"""Names kept so that old records of them are not taken for news."""
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """A target that a front may send work to."""
@@ -38,6 +46,8 @@
     def __init__(self) -> None:
         self.record_by_name: dict[str, MemberRecord] = {}
         self._suspected_by_name: dict[str, int] = {}
+        self._absent_since_by_name: dict[str, float] = {}
+        self._forgotten_by_name: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self._candidates_by_service: dict[str, list[Candidate]] | None = None
         self.version = 0
         """Grows with each change."""
@@ -57,6 +67,8 @@
         known = self.record_by_name.get(name)
         if known is not None and known.order >= record.order:
             return False
+        if self._forgotten_by_name.get(name, (-1, -1)) >= record.order:
+            return False
         self.record_by_name[name] = record
         # A newer word refutes a suspicion: the owner is there to speak.
         self._suspected_by_name.pop(name, None)
@@ -84,6 +96,23 @@
         if self._suspected_by_name.pop(name, None) is not None:
             self._note_change()
 
+    def forget_absent(self, now: float) -> None:
+        """Drop members that left or were suspected long ago.
+
+        VMs are replaced for ever, and their records must not pile up. Peers
+        that have not forgotten a record yet do not bring it back.
+
+        Args:
+            now: Time of this process's clock, in seconds.
+        """
+        for name in list(self.record_by_name):
+            if self.is_live(name):
+                self._absent_since_by_name.pop(name, None)
+                continue
+            since = self._absent_since_by_name.setdefault(name, now)
+            if now - since >= ABSENT_SECONDS:
+                self._forget(name)
+
     def is_live(self, name: str) -> bool:
         """Tell whether a daemon is in the fleet and answers somebody."""
         record = self.record_by_name.get(name)
@@ -132,6 +161,16 @@
                 live += target.slots
         return ServiceCapacity(announced, live)
 
+    def _forget(self, name: str) -> None:
+        record = self.record_by_name.pop(name)
+        self.digest ^= _digest(record)
+        self._suspected_by_name.pop(name, None)
+        self._absent_since_by_name.pop(name, None)
+        self._forgotten_by_name[name] = record.order
+        while len(self._forgotten_by_name) > _MOST_FORGOTTEN:
+            self._forgotten_by_name.popitem(last=False)
+        self._note_change()
+
     def _note_change(self) -> None:
         self._candidates_by_service = None
         self.version += 1
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -111,6 +111,7 @@
         while True:
             await curio.sleep(self._context.settings.peers.heartbeat_seconds)
             await self._check_silent()
+            self._context.directory.forget_absent(self._context.clock())
 
     async def keep_neighbours(self) -> None:
         """Keep links to neighbours, and to seeds until members are known."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,7 +10,11 @@
 
 from bramleyglade_core.decisions.admission import authenticate, hash_key
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
-from bramleyglade_core.decisions.directory import Directory, RoutableTargets
+from bramleyglade_core.decisions.directory import (
+    ABSENT_SECONDS,
+    Directory,
+    RoutableTargets,
+)
 from bramleyglade_core.decisions.picker import Picker
 from bramleyglade_core.model.announcements import (
     DaemonPhase,
@@ -81,6 +85,24 @@
     assert directory.is_live("vm-0")
 
 
+def test_member_long_gone_is_forgotten_and_not_brought_back():
+    directory = Directory()
+    directory.merge(record(0))
+    directory.merge(record(1))
+    empty_of_one = Directory()
+    empty_of_one.merge(record(1))
+    directory.suspect("vm-0")
+    directory.forget_absent(0.0)
+    directory.forget_absent(ABSENT_SECONDS - 1.0)
+    assert "vm-0" in directory.record_by_name
+    directory.forget_absent(ABSENT_SECONDS)
+    assert "vm-0" not in directory.record_by_name
+    assert directory.digest == empty_of_one.digest
+    assert not directory.merge(record(0))
+    assert directory.merge(record(0, sequence=2))
+    assert directory.is_live("vm-0")
+
+
 _views = st.lists(
     st.tuples(st.integers(1, 4), st.integers(0, 9), st.booleans()),
     min_size=2,
