--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -66,10 +66,9 @@
     asks = requests * size.asks_per_request
     beats = size.links / size.heartbeat_seconds
     changes = size.changes_per_day / _SECONDS_PER_DAY
-    entities = size.teams + size.routes + size.services
     records = 3 * (size.restarts_per_day + size.failures_per_day) / _SECONDS_PER_DAY
     copies = 2 * 16
-    merge = slopes.change_microseconds_per_thousand * entities / 1000
+    merge = 1000 * merge_milliseconds(size, slopes)
     config_mb = (
         size.teams * slopes.team_bytes + size.routes * slopes.route_bytes
     ) / 1e6
@@ -122,6 +121,12 @@
     ]
 
 
+def merge_milliseconds(size: Size, slopes: Slopes) -> float:
+    """Return the time in which one change is merged and indexed."""
+    entities = size.teams + size.routes + size.services
+    return slopes.change_microseconds_per_thousand * entities / 1e6
+
+
 def store_calls(size: Size) -> tuple[float, float]:
     """Return the store's reads and writes a second, watches included."""
     discovery = size.daemons / 20.0
@@ -136,7 +141,8 @@
 def main() -> None:
     """Print the page's figures, one JSON object a line."""
     size = Size()
-    costs = roles(size, measure())
+    slopes = measure()
+    costs = roles(size, slopes)
     for cost in costs:
         print(
             json.dumps(
@@ -159,6 +165,15 @@
                 "kilobytes_per_second": round(
                     sum(c.kilobytes_per_second for c in costs), 1
                 ),
+                "merge_milliseconds": round(merge_milliseconds(size, slopes), 1),
+                "asks_if_spread_kilobytes_per_second": round(
+                    2
+                    * size.requests_per_second
+                    / size.daemons
+                    * slopes.ask_wire_bytes
+                    / 1000,
+                    1,
+                ),
                 "store_reads_per_second": round(reads, 1),
                 "store_writes_per_second": round(writes, 2),
             }
--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -52,11 +52,6 @@
         self._out = bytearray()
         self._is_broken = False
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether bytes of the next request have arrived."""
-        return bool(self._protocol.trailing_data[0])
-
     @property
     def wants_continue(self) -> bool:
         """Whether the caller waits for a `100 Continue` before it sends its body."""
--- a/packages/client/src/bramleyglade_client/program.py
+++ b/packages/client/src/bramleyglade_client/program.py
@@ -167,10 +167,6 @@
 class ZoneCommands(_Shared):
     """Availability zones; each change is a ticket."""
 
-    def list(self) -> None:
-        """List the zones."""
-        self._print([*self._configuration().zone_by_name.values()])
-
     def out(self, zone: str, number: int | None = None) -> None:
         """Take a zone out: it gets no new work.
 
@@ -195,6 +191,11 @@
 class Commands(_Shared):
     """Operate a bramleyglade fleet.
 
+    Groups: `ticket apply|validate|diff FILE`, `ticket show NUMBER`, `ticket
+    list`, `key new`, `key grant TEAM`, `key withdraw TEAM HASH`, `zone out
+    ZONE` and `zone in ZONE`; each has `--help` of its own. Start with
+    `bramleyglade ticket diff FILE`, which changes nothing.
+
     The store's address comes from `--store` or BRAMLEYGLADE_STORE, the output
     style from `--output` (table or json). Exit codes: 0 done, 2 bad input,
     3 conflict, 4 store or daemon unavailable.
@@ -215,6 +216,10 @@
         """List the teams; of keys, only hashes are known."""
         self._print([*self._configuration().team_by_name.values()])
 
+    def zones(self) -> None:
+        """List the availability zones."""
+        self._print([*self._configuration().zone_by_name.values()])
+
     def routes(self) -> None:
         """List the routes."""
         self._print([*self._configuration().route_by_name.values()])
--- a/packages/core/src/bramleyglade_core/decisions/directory.py
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -150,6 +150,14 @@
             self._candidates_by_service = self._index()
         return self._candidates_by_service.get(service, [])
 
+    def target_ids(self) -> set[TargetId]:
+        """Return all targets of all members."""
+        return {
+            TargetId(name, target.name)
+            for name, record in self.record_by_name.items()
+            for target in record.targets
+        }
+
     def capacity(self, service: str, configuration: Configuration) -> ServiceCapacity:
         """Return the slots of a service in the zones in use."""
         announced = live = 0
--- a/packages/core/src/bramleyglade_core/decisions/ejection_book.py
+++ b/packages/core/src/bramleyglade_core/decisions/ejection_book.py
@@ -87,11 +87,6 @@
         )
         return True
 
-    def ejected_slots(self, now: float) -> int:
-        """Return the slots that may be ejected now."""
-        self._drop_lapsed(now)
-        return sum(leave.slots for leave in self._leave_by_target.values())
-
     def _fits(
         self, asked: EjectionAsked, floor: float, capacity: ServiceCapacity
     ) -> bool:
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -137,10 +137,11 @@
         """Forget that a target was avoided, since it has answered."""
         self._avoidance_by_target.pop(target, None)
 
-    def forget(self, target: TargetId) -> None:
-        """Drop what is known of a target that has left."""
-        self.view_by_target.pop(target, None)
-        self._avoidance_by_target.pop(target, None)
+    def keep_only(self, targets: Container[TargetId]) -> None:
+        """Drop what is known of targets that have left."""
+        for known in (self.view_by_target, self._avoidance_by_target):
+            for target in [t for t in known if t not in targets]:
+                del known[target]
 
     def mark_ejected(self, target: TargetId) -> None:
         """Note that a guard has just refused work for an ejected target."""
--- a/packages/core/src/bramleyglade_core/ports/streams.py
+++ b/packages/core/src/bramleyglade_core/ports/streams.py
@@ -1,4 +1,4 @@
-"""Streams of one exchange, the same for a local and a remote guard."""
+"""Streams of one attempt, the same for a local and a remote guard."""
 
 from __future__ import annotations
 
@@ -8,30 +8,19 @@
     from bramleyglade_core.model.exchange import AnswerEvent, AttemptOffered
 
 
-class BodySource(Protocol):
-    """Where the body of a request comes from."""
-
-    async def receive(self) -> bytes | None:
-        """Return the next piece, or None at the end of the body.
-
-        Raises:
-            AttemptRefused: If the sender gave up.
-        """
-
-
-class AnswerSink(Protocol):
-    """Where the answer of an attempt goes."""
+class AttemptStream(Protocol):
+    """The front's side of one attempt at a guard."""
 
     @property
-    def is_abandoned(self) -> bool:
-        """Whether nobody waits for the answer any more."""
-
-    async def send(self, event: AnswerEvent) -> None:
-        """Pass on a part of the answer; waits while the receiver is slow."""
+    def has_more(self) -> bool:
+        """Whether another part of the answer is here already."""
 
+    async def wait_for_body_credit(self) -> None:
+        """Wait until the guard has begun the exchange and wants the body.
 
-class AttemptStream(Protocol):
-    """The front's side of one attempt at a guard."""
+        Raises:
+            AttemptRefused: If the attempt has ended.
+        """
 
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the request's body; waits while the guard is slow."""
@@ -42,6 +31,9 @@
     async def receive(self) -> AnswerEvent:
         """Wait for the next part of the answer."""
 
+    async def deliver(self, message: AnswerEvent) -> None:
+        """End the answer with an event of this side, such as a caller's leaving."""
+
     async def cancel(self) -> None:
         """Give up the attempt; idempotent, and harmless after its end."""
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -146,6 +146,7 @@
         while True:
             await curio.sleep(pause)
             pause = _STORE_PERIOD_SECONDS * self._context.random.uniform(0.8, 1.2)
+            self._context.picker.keep_only(self._context.directory.target_ids())
             try:
                 listing = await self._context.store.list_changed(
                     MEMBER_PREFIX, self._members_revision
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -25,11 +25,10 @@
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.directory import Candidate
     from bramleyglade_core.model.identifiers import TargetId
-    from bramleyglade_core.ports.streams import AttemptPort
+    from bramleyglade_core.ports.streams import AttemptPort, AttemptStream
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.front.guard_ports import GuardPorts
     from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
-    from bramleyglade_daemon.streams import FrontStream
 
 _MISROUTED_CODES = frozenset(
     {
@@ -114,7 +113,7 @@
         self._upload: curio.Task | None = None
         self._offered: AttemptOffered | None = None
         self._port: AttemptPort | None = None
-        self.stream: FrontStream | None = None
+        self.stream: AttemptStream | None = None
         """The stream of the attempt under way."""
 
     async def next_attempt(self) -> None:
@@ -131,7 +130,7 @@
         self._port = self._dispatcher.port(candidate)
         self._count += 1
         try:
-            self.stream = await self._port.offer(self._offered)  # type: ignore[assignment]
+            self.stream = await self._port.offer(self._offered)
         except LinkLost as error:
             self.stream = None
             self._context.picker.note_ended(candidate.target)
@@ -292,14 +291,14 @@
             traceparent=self._hop.traceparent,
         )
 
-    async def _ask_outcome(self) -> FrontStream:
+    async def _ask_outcome(self) -> AttemptStream:
         assert self._port is not None
         assert self._offered is not None
         left = self._request.deadline - self._context.clock()
         offered = replace(self._offered, headers=(), deadline_seconds=max(0.0, left))
-        return await self._port.ask_outcome(offered)  # type: ignore[return-value]
+        return await self._port.ask_outcome(offered)
 
-    async def _feed(self, stream: FrontStream) -> None:
+    async def _feed(self, stream: AttemptStream) -> None:
         try:
             await self._feeder.feed(stream)
         except (FleetError, OSError) as error:
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -24,7 +24,7 @@
         ServerConnection,
     )
     from bramleyglade_core.model.settings import FrontSettings
-    from bramleyglade_daemon.streams import FrontStream
+    from bramleyglade_core.ports.streams import AttemptStream
 
 DEADLINE_HEADER = "x-request-timeout-seconds"
 """Header in which a caller may state a shorter deadline, in seconds."""
@@ -109,7 +109,7 @@
         self.error: BadRequest | OSError | None = None
         """What was wrong with the caller's side, if anything."""
 
-    async def feed(self, stream: FrontStream) -> None:
+    async def feed(self, stream: AttemptStream) -> None:
         """Send the body to an attempt, once its guard wants it."""
         await stream.wait_for_body_credit()
         for data in self._kept:
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -10,7 +10,6 @@
 import curio
 
 from bramleyglade_core.decisions.attempt_table import AttemptTable
-from bramleyglade_core.decisions.ejection import HealthPhase
 from bramleyglade_core.model.errors import AttemptRefused, ErrorCode, FleetError
 from bramleyglade_core.model.identifiers import TargetId
 from bramleyglade_daemon.guard.exchange import QueuedAttempt
@@ -26,6 +25,9 @@
     from bramleyglade_core.model.peer_messages import TargetViewTold
     from bramleyglade_daemon.fleet.context import Context
 
+_LOOK_SECONDS = 0.25
+"""Time between two looks at the targets."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -170,10 +172,6 @@
             await self.on_changed()
 
 
-_LOOK_SECONDS = 0.25
-"""Time between two looks at the targets."""
-
-
 class LocalGuardPort:
     """Offers attempts to the guard in this process, by plain calls."""
 
@@ -199,11 +197,6 @@
     return TargetId(context.settings.name, runner.announced.name)
 
 
-def is_out(runner: TargetRunner, now: float) -> bool:
-    """Tell whether a target is ejected or on trial."""
-    return runner.health.phase(now) is not HealthPhase.HEALTHY
-
-
 def _is_restart(known: TargetAnnouncement, announced: TargetAnnouncement) -> bool:
     is_new_instance = known.instance != announced.instance
     return is_new_instance or known.address != announced.address
--- a/packages/standins/src/bramleyglade_standins/caller.py
+++ b/packages/standins/src/bramleyglade_standins/caller.py
@@ -4,7 +4,6 @@
 
 import json
 import time
-from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -120,8 +119,3 @@
         if self._client is not None:
             await self._client.close()
             self._client = None
-
-
-def count_codes(outcomes: list[CallOutcome]) -> Counter[str]:
-    """Count outcomes by code."""
-    return Counter(outcome.code for outcome in outcomes)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -33,7 +33,7 @@
         )
 
     for _ in range(100):
-        if run("zone", "list").returncode == 0:
+        if run("zones").returncode == 0:
             break
         time.sleep(0.1)
     yield run
