--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -222,3 +222,22 @@
         assert received.count(b"POST") == 1
 
     run_fleet(scenario, daemons=1, zones=1)
+
+
+def test_daemon_at_its_bound_refuses_truthfully(run_fleet):
+    async def scenario(fleet):
+        front = fleet.daemons[0].front
+        settings = fleet.daemons[0].context.settings
+        fleet.daemons[0].context.settings = replace(
+            settings, front=replace(settings.front, max_connections=1)
+        )
+        first = SimpleClient(fleet.settings[0].caller_address)
+        assert (await first.request("GET", "/open/x")).status == 200
+        refused = await fleet.call(path="/open/x")
+        assert json.loads(refused.body)["code"] == "daemon-full"
+        assert refused.header("x-fleet-verdict") == "not-run"
+        await first.close()
+        await fleet.until(lambda: not front.connections)
+        assert (await fleet.call(path="/open/x")).status == 200
+
+    run_fleet(scenario, daemons=1, zones=1)
