--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -287,9 +287,10 @@
 
     async def _receive_quickly(self, attempts: Attempts) -> AnswerEvent | None:
         """Wait for a moment only; None if nothing comes."""
-        if attempts.stream is not None and attempts.stream.has_more:
-            return await attempts.receive()
-        return await curio.ignore_after(_QUICK_SECONDS, attempts.receive)
+        assert attempts.stream is not None
+        if attempts.stream.has_more:
+            return await attempts.stream.receive()
+        return await curio.ignore_after(_QUICK_SECONDS, attempts.stream.receive)
 
     async def _watch_caller(self, attempts: Attempts) -> None:
         stream = attempts.stream
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import curio
+import pytest
 
 from bramleyglade_adapters.http.simple_client import SimpleClient
 from bramleyglade_core.model.announcements import DaemonPhase
@@ -252,3 +253,22 @@
         assert [answer.status for answer in answers] == [200] * 4
 
     run_fleet(scenario, daemons=2)
+
+
+@pytest.mark.parametrize("faults", [StoreFaults(is_away=True), StoreFaults(stale_by=2)])
+def test_store_in_trouble_is_not_called_in_a_loop(run_fleet, faults):
+    """A store that answers from an older version once looked worth asking again.
+
+    The bound is ten calls for each daemon and refresh; a loop makes thousands.
+    """
+
+    async def scenario(fleet):
+        await withdraw_key(fleet)
+        await fleet.until(lambda: not keys_in_force(fleet))
+        fleet.store.faults = faults
+        calls = fleet.store.calls
+        refresh = fleet.settings[0].lease.refresh_seconds
+        await curio.sleep(10 * refresh)
+        assert fleet.store.calls - calls <= 10 * 10 * len(fleet.daemons)
+
+    run_fleet(scenario, daemons=3, zones=3)
