--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -25,6 +25,8 @@
     RecordsTold,
     SuspicionTold,
 )
+from bramleyglade_core.ports.store import Listing
+from bramleyglade_daemon.fleet.context import new_incarnation
 from bramleyglade_daemon.fleet.peers import expect
 
 if TYPE_CHECKING:
@@ -32,6 +34,7 @@
 
     from bramleyglade_adapters.link.link import Link
     from bramleyglade_core.model.announcements import MemberRecord
+    from bramleyglade_core.ports.store import ObjectStore
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.peers import Peers
     from bramleyglade_daemon.fleet.shared_state import SharedState
@@ -251,3 +254,28 @@
         names = [n for n in self._context.directory.member_names() if n != own]
         ranked = rank(own, names)
         self._peers.set_neighbours(ranked[: self._context.settings.peers.fanout])
+
+
+async def next_incarnation(store: ObjectStore, name: str) -> int:
+    """Choose the incarnation of a daemon that starts.
+
+    The wall clock counts incarnations, and a new VM's may be behind that of the
+    one it replaces; then the store's record of the name is counted on from.
+
+    Args:
+        store: The platform's object store.
+        name: The daemon's name.
+
+    Returns:
+        A number above that of any earlier run which the store knows of.
+    """
+    own = new_incarnation()
+    try:
+        stored = await store.read(member_key(name))
+    except StoreError:
+        return own
+    if stored is None:
+        return own
+    listing = Listing((stored,), stored.revision)
+    known = [record.daemon.incarnation for record in read_members(listing)]
+    return max([own, *(incarnation + 1 for incarnation in known)])
--- a/packages/daemon/src/bramleyglade_daemon/program.py
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -18,6 +18,7 @@
 from bramleyglade_core.model.errors import BadInput
 from bramleyglade_daemon.daemon import Daemon
 from bramleyglade_daemon.fleet.context import Context
+from bramleyglade_daemon.fleet.membership import next_incarnation
 from bramleyglade_daemon.stop_signal import StopSignal
 
 if TYPE_CHECKING:
@@ -49,8 +50,9 @@
     """Run a daemon until SIGTERM or SIGINT, then stop it gracefully."""
     telemetry = Telemetry(settings, random.Random())
     store = HttpStore(settings.store_address)
-    daemon = Daemon(Context(settings, store, telemetry))
     stop_signal = StopSignal()
+    incarnation = await next_incarnation(store, settings.name)
+    daemon = Daemon(Context(settings, store, telemetry, incarnation=incarnation))
     await daemon.start()
     # What is alive now lives for ever; pauses grow with what is scanned.
     gc.freeze()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
+import curio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bramleyglade_adapters.store.shared_objects import member_key
+from bramleyglade_adapters.structure import to_json
 from bramleyglade_core.decisions.admission import authenticate, hash_key
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
 from bramleyglade_core.decisions.directory import (
@@ -26,6 +30,8 @@
 from bramleyglade_core.model.identifiers import Address, DaemonId
 from bramleyglade_core.model.peer_messages import TargetViewTold
 from bramleyglade_core.model.tickets import Ticket
+from bramleyglade_daemon.fleet.membership import next_incarnation
+from bramleyglade_standins.memory_store import MemoryStore
 
 ADDRESS = Address("127.0.0.1", 80)
 SERVICE = Service("s", ("z0", "z1"))
@@ -85,6 +91,16 @@
     assert directory.is_live("vm-0")
 
 
+def test_restarted_daemon_is_newer_even_if_its_clock_is_behind():
+    async def choose():
+        store = MemoryStore()
+        ahead = replace(record(0), daemon=DaemonId("vm-0", 10**18))
+        await store.create(member_key("vm-0"), to_json(ahead))
+        return await next_incarnation(store, "vm-0")
+
+    assert curio.run(choose) == 10**18 + 1
+
+
 def test_member_long_gone_is_forgotten_and_not_brought_back():
     directory = Directory()
     directory.merge(record(0))
