--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -36,7 +36,9 @@
     from bramleyglade_core.model.settings import DaemonSettings
 
 _MILLISECONDS_PER_SECOND = 1000.0
-_SAMPLED_SUFFIX = "-01"
+_SAMPLED_FLAG = 0x01
+"""Bit of the trace flags; others may be set beside it."""
+
 Label = tuple[str, str]
 """Name and value of an attribute."""
 
@@ -138,7 +140,7 @@
         if not traceparent and is_root:
             if self._random.random() >= self._settings.trace_share:
                 return Hop("")
-        elif not traceparent.endswith(_SAMPLED_SUFFIX):
+        elif not _is_sampled(traceparent):
             return Hop(traceparent)
         context = _PROPAGATOR.extract({"traceparent": traceparent})
         span = self._tracer.start_span(name, context)
@@ -176,6 +178,11 @@
         return ConsoleSpanExporter(out=sys.stderr, formatter=_one_line)
 
 
+def _is_sampled(traceparent: str) -> bool:
+    flags = traceparent.rpartition("-")[2]
+    return bool(flags) and bool(int(flags, 16) & _SAMPLED_FLAG)
+
+
 def _one_line(value: object) -> str:
     to_json = value.to_json  # type: ignore[attr-defined]
     return to_json(indent=None) + "\n"
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,82 @@
+"""Traces, metrics and logs leave the process in the forms promised."""
+
+from __future__ import annotations
+
+import http.server
+import json
+import logging
+import random
+import threading
+from dataclasses import replace
+
+import pytest
+
+from bramleyglade_adapters.logs import JsonLineFormatter
+from bramleyglade_adapters.telemetry import Telemetry, traceparent_of
+from bramleyglade_core.model.settings import TelemetrySettings
+
+
+@pytest.fixture
+def receiver():
+    """An OTLP receiver that notes the paths it was sent to."""
+    paths = []
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def do_POST(self):
+            self.rfile.read(int(self.headers["content-length"]))
+            paths.append(self.path)
+            self.send_response(200)
+            self.end_headers()
+
+        def log_message(self, *_):
+            """Print nothing."""
+
+    server = http.server.HTTPServer(("127.0.0.1", 0), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield f"http://127.0.0.1:{server.server_port}", paths
+    server.shutdown()
+    server.server_close()
+
+
+def make_telemetry(settings, **changes):
+    telemetry = TelemetrySettings(**changes)
+    return Telemetry(replace(settings, telemetry=telemetry), random.Random(1))
+
+
+def test_hops_of_a_request_share_a_trace_and_reach_the_receiver(settings, receiver):
+    endpoint, paths = receiver
+    telemetry = make_telemetry(
+        settings, exporter="otlp", endpoint=endpoint, trace_share=1.0
+    )
+    front = telemetry.start_hop("front", "", is_root=True)
+    target = telemetry.start_hop("target", front.traceparent)
+    assert traceparent_of({"traceparent": front.traceparent})
+    assert target.traceparent.split("-")[1] == front.traceparent.split("-")[1]
+    assert target.traceparent != front.traceparent
+    target.end()
+    front.end()
+    telemetry.note_request("ok", "ran", 0.1)
+    telemetry.shut_down()
+    assert {"/v1/traces", "/v1/metrics"} <= set(paths)
+
+
+def test_request_that_is_not_sampled_keeps_its_context_and_costs_no_span(settings):
+    telemetry = make_telemetry(settings, exporter="json", trace_share=0.0)
+    given = f"00-{'1' * 32}-{'2' * 16}-00"
+    hop = telemetry.start_hop("front", given, is_root=True)
+    assert (hop.traceparent, hop.span) == (given, None)
+    assert telemetry.start_hop("front", "", is_root=True).span is None
+    telemetry.shut_down()
+
+
+def test_malformed_trace_context_is_not_passed_on():
+    assert traceparent_of({"traceparent": "00-zz-zz-01"}) == ""
+
+
+def test_log_record_is_one_line_of_json_with_its_fields():
+    record = logging.LogRecord("fleet", logging.INFO, "", 1, "TargetEjected", (), None)
+    record.target = "target-0"
+    line = JsonLineFormatter().format(record)
+    assert "\n" not in line
+    assert json.loads(line)["event"] == "TargetEjected"
+    assert json.loads(line)["target"] == "target-0"
