Free the slot when a caller leaves after its upload

Only requests without a body were watched; one with a body held its slot to the deadline. The task that feeds the body now watches the caller afterwards.

--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -12,7 +12,6 @@
 from bramleyglade_adapters.http.server_connection import RequestHead, ServerConnection
 from bramleyglade_adapters.http.wire import (
     end_to_end_headers,
-    has_left,
     prepare_socket,
 )
 from bramleyglade_adapters.telemetry import traceparent_of
@@ -279,7 +278,7 @@
         event = await self._receive_quickly(attempts)
         if event is not None:
             return event
-        watcher = await curio.spawn(self._watch_caller, attempts)
+        watcher = await curio.spawn(attempts.watch_caller)
         try:
             return await attempts.receive_in_time()
         finally:
@@ -292,18 +291,6 @@
             return await attempts.stream.receive()
         return await curio.ignore_after(_QUICK_SECONDS, attempts.stream.receive)
 
-    async def _watch_caller(self, attempts: Attempts) -> None:
-        stream = attempts.stream
-        if await has_left(self._sock) and stream is not None:
-            await stream.cancel()
-            await stream.deliver(
-                AttemptFailed(
-                    ErrorCode.ATTEMPT_CANCELLED,
-                    "the caller left",
-                    Verdict.MAY_HAVE_RUN,
-                )
-            )
-
     def _start_answer(self, started: AnswerStarted, request: AdmittedRequest) -> None:
         own = outcome_headers(Verdict.RAN, _OK, request.request_id)
         names = {header.name for header in own}
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -177,6 +177,11 @@
             ErrorCode.TARGET_SLOW, "the target takes too long", Verdict.MAY_HAVE_RUN
         )
 
+    async def watch_caller(self) -> None:
+        """Give up the attempt under way if the caller leaves."""
+        if self.stream is not None:
+            await self._feeder.watch_caller(self.stream)
+
     def note_answer(self) -> None:
         """Take in that the target has answered this front."""
         if self._candidate is not None:
@@ -301,6 +306,7 @@
     async def _feed(self, stream: AttemptStream) -> None:
         try:
             await self._feeder.feed(stream)
+            await self._feeder.watch_caller(stream)
         except (FleetError, OSError) as error:
             if self._feeder.error is not None:
                 await stream.cancel()
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -11,10 +11,11 @@
 from bramleyglade_adapters.http.server_connection import (
     RequestHead,
 )
-from bramleyglade_adapters.http.wire import end_to_end_headers
+from bramleyglade_adapters.http.wire import end_to_end_headers, has_left
 from bramleyglade_core.model.entities import Route, Service
 from bramleyglade_core.model.errors import BadRequest, ErrorCode
-from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.model.exchange import AttemptFailed, Header
+from bramleyglade_core.model.verdict import Verdict
 from bramleyglade_daemon.front.refusal import REQUEST_ID_HEADER
 
 if TYPE_CHECKING:
@@ -123,6 +124,15 @@
             await stream.send_body(piece)
         await stream.end_body()
 
+    async def watch_caller(self, stream: AttemptStream) -> None:
+        """Give up an attempt if its caller leaves while it waits."""
+        if await has_left(self._connection.sock):
+            await stream.cancel()
+            left = AttemptFailed(
+                ErrorCode.ATTEMPT_CANCELLED, "the caller left", Verdict.MAY_HAVE_RUN
+            )
+            await stream.deliver(left)
+
     async def _read(self) -> bytes | None:
         try:
             if self._connection.wants_continue:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -241,3 +241,19 @@
         assert (await fleet.call(path="/open/x")).status == 200
 
     run_fleet(scenario, daemons=1, zones=1)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_caller_that_leaves_frees_the_slot(run_fleet, method):
+    async def scenario(fleet):
+        target = fleet.targets[0]
+        target.behaviour = replace(target.behaviour, work_seconds=4.0)
+        body = b"body" if method == "POST" else b""
+        task = await curio.spawn(fleet.call, 0, method, "/songs/1", body)
+        await fleet.until(lambda: target.running == 1)
+        await curio.sleep(0.2)
+        await task.cancel()
+        await fleet.until(lambda: fleet.daemons[0].guard.running == 0)
+        assert target.answered == 0
+
+    run_fleet(scenario, daemons=1, zones=1)
