Tell of earlier attempts in the verdict of a refusal

Found by reading the code as a newcomer: an idempotent request whose first attempt may have run, and which then found no target left, was refused as not-run. Before: verdict not-run with one run counted at the target (new test); after: may-have-run. Ruled out for non-idempotent work, which is not retried after such an attempt.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -54,6 +54,13 @@
         "verdict = Verdict.NOT_RUN",
         "tests/faults tests/test_path.py",
     ),
+    Mutation(
+        "not run is true: earlier attempts count",
+        f"{_DAEMON}/front/dispatcher.py",
+        "        self._verdict = self._verdict.joined(failed.verdict)\n",
+        "        self._verdict = failed.verdict\n",
+        "tests/test_path.py -k after_a_retry",
+    ),
     Mutation(
         "rate and burst: an ask that came twice",
         f"{_CORE}/share_keeper.py",
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -108,6 +108,8 @@
         self._count = 0
         self._misrouted = 0
         self._is_retry_paid = False
+        self._verdict = Verdict.NOT_RUN
+        """What is known of all attempts so far."""
         self._tried: set[TargetId] = set()
         self._candidate: Candidate | None = None
         self._upload: curio.Task | None = None
@@ -235,9 +237,10 @@
             self._note_unreachable()
         if failed.code is ErrorCode.TARGET_EJECTED and self._candidate is not None:
             self._context.picker.mark_ejected(self._candidate.target)
+        self._verdict = self._verdict.joined(failed.verdict)
         if not self._may_retry(failed):
             raise AttemptRefused(
-                failed.code, failed.detail, failed.verdict, failed.retry_after
+                failed.code, failed.detail, self._verdict, failed.retry_after
             )
         self._hop.note("retry.after", failed.code.value)
 
@@ -276,7 +279,10 @@
         candidate = self._context.picker.pick(candidates, self._tried, now)
         if candidate is None:
             raise AttemptRefused(
-                ErrorCode.NO_TARGET, "no target takes the request", retry_after=1.0
+                ErrorCode.NO_TARGET,
+                "no target takes the request",
+                self._verdict,
+                retry_after=1.0,
             )
         return candidate
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -257,3 +257,18 @@
         assert target.answered == 0
 
     run_fleet(scenario, daemons=1, zones=1)
+
+
+def test_refusal_after_a_retry_tells_of_the_first_attempt_too(run_fleet):
+    """The first attempt ran; that no target is left then does not undo it."""
+
+    async def scenario(fleet):
+        target = fleet.targets[0]
+        target.behaviour = replace(target.behaviour, reset_share=1.0)
+        headers = (Header("x-request-id", "ran"),)
+        answer = await fleet.call(headers=headers)
+        assert fleet.runs("ran") == 1
+        assert answer.status >= 500
+        assert answer.header("x-fleet-verdict") == "may-have-run"
+
+    run_fleet(scenario, daemons=1, zones=1)
