Connect by IP number, without a thread that looks up names

Cause: the library's open_connection resolves in a worker thread, which also warned at the end of tests.

--- a/packages/adapters/src/bramleyglade_adapters/http/wire.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/wire.py
@@ -56,8 +56,15 @@
         OSError: If the other side refuses or can't be reached.
         curio.TaskTimeout: If it does not answer in time.
     """
-    async with curio.timeout_after(timeout_seconds):
-        sock = await curio.open_connection(address.host, address.port)
+    # By IP number, so that no thread has to look up a name.
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = curio_io.Socket(socket.socket(family, socket.SOCK_STREAM))
+    try:
+        async with curio.timeout_after(timeout_seconds):
+            await sock.connect((address.host, address.port))
+    except BaseException:
+        await sock.close()
+        raise
     prepare_socket(sock)
     return sock
 
