Correct the chance that sampling leaves, and print it

The design said less than 0.3% with 30% of members lacking the store; that figure came from no command and was wrong. make capacity now prints it: 0.9% (11.2% at 40%, 25% at 50%). No code of the fleet changes.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+import math
 from dataclasses import dataclass
 
 from benchmarks.slopes import Slopes, measure
+from bramleyglade_core.model.settings import LeaseSettings
 
 _SECONDS_PER_DAY = 86_400
 _MICROSECONDS = 1e6
@@ -138,6 +140,24 @@
     return reads, writes
 
 
+def sampling_chance(sample: int, share_away: float) -> float:
+    """Return the chance that two samples show opposite majorities.
+
+    Args:
+        sample: Members in each of the two independent samples.
+        share_away: Share of all members that lack the store.
+
+    Returns:
+        The chance that one shows most lacking the store and the other most
+        reaching it, for one look of each.
+    """
+    away = sum(
+        math.comb(sample, n) * share_away**n * (1 - share_away) ** (sample - n)
+        for n in range(sample // 2 + 1, sample + 1)
+    )
+    return away * (1 - away)
+
+
 def main() -> None:
     """Print the page's figures, one JSON object a line."""
     size = Size()
@@ -155,6 +175,9 @@
                 }
             )
         )
+    sample = LeaseSettings().sample_size
+    chances = {p: round(sampling_chance(sample, p), 4) for p in (0.3, 0.4, 0.5)}
+    print(json.dumps({"sample": sample, "opposite_majorities": chances}))
     reads, writes = store_calls(size)
     print(
         json.dumps(
