--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -10,6 +10,7 @@
 from bramleyglade_adapters.http.wire import (
     MAX_HEAD_BYTES,
     RECEIVE_BYTES,
+    first_header,
     headers_from_wire,
     headers_to_wire,
 )
@@ -38,7 +39,7 @@
 
     def header(self, name: str) -> str:
         """Return the value of the first header of a name, or an empty string."""
-        return next((h.value for h in self.headers if h.name == name), "")
+        return first_header(self.headers, name)
 
 
 class ServerConnection:
--- a/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
@@ -8,6 +8,7 @@
 import curio
 
 from bramleyglade_adapters.http.client_connection import AnswerBroken, ClientConnection
+from bramleyglade_adapters.http.wire import first_header
 from bramleyglade_core.model.exchange import (
     AnswerContinued,
     AnswerStarted,
@@ -28,7 +29,7 @@
 
     def header(self, name: str) -> str:
         """Return the value of the first header of a name, or an empty string."""
-        return next((h.value for h in self.headers if h.name == name), "")
+        return first_header(self.headers, name)
 
 
 class RequestNotSent(Exception):
--- a/packages/adapters/src/bramleyglade_adapters/http/wire.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/wire.py
@@ -69,6 +69,11 @@
     return sock
 
 
+def first_header(headers: Iterable[Header], name: str) -> str:
+    """Return the value of the first header of a name, or an empty string."""
+    return next((header.value for header in headers if header.name == name), "")
+
+
 def end_to_end_headers(headers: Iterable[Header]) -> tuple[Header, ...]:
     """Leave out the headers that end at this hop."""
     headers = tuple(headers)
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -11,7 +11,6 @@
 
 from bramleyglade_adapters.http.server_connection import RequestHead, ServerConnection
 from bramleyglade_adapters.http.wire import (
-    end_to_end_headers,
     prepare_socket,
 )
 from bramleyglade_adapters.telemetry import traceparent_of
@@ -294,8 +293,7 @@
     def _start_answer(self, started: AnswerStarted, request: AdmittedRequest) -> None:
         own = outcome_headers(Verdict.RAN, _OK, request.request_id)
         names = {header.name for header in own}
-        theirs = end_to_end_headers(started.headers)
-        headers = [*(h for h in theirs if h.name not in names), *own]
+        headers = [*(h for h in started.headers if h.name not in names), *own]
         if self._front.invites_to_leave:
             headers.append(Header("connection", "close"))
         self._connection.start_answer(started.status, headers)
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -78,6 +78,7 @@
         """Take in a target's announcement or its renewal."""
         self._renewed_at_by_name[announced.name] = self._context.clock()
         runner = self.runner_by_name.get(announced.name)
+        is_restart = runner is not None and _is_restart(runner.announced, announced)
         if runner is None:
             runner = TargetRunner(
                 announced,
@@ -88,13 +89,11 @@
                 self._context.clock,
             )
             self.runner_by_name[announced.name] = runner
-        elif runner.announced.is_draining and not _is_restart(
-            runner.announced, announced
-        ):
+        elif runner.announced.is_draining and not is_restart:
             return  # Draining is for good; only a new instance takes work again.
         elif runner.announced == announced:
             return
-        elif _is_restart(runner.announced, announced):
+        elif is_restart:
             await runner.restart(announced)
         else:
             runner.announced = announced
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -155,7 +155,7 @@
 
     def _request_headers(self, item: QueuedAttempt) -> list[Header]:
         left = max(0.0, item.deadline - self._runner.clock())
-        headers = list(end_to_end_headers(item.offered.headers))
+        headers = list(item.offered.headers)
         headers.append(Header("x-fleet-deadline-seconds", f"{left:.3f}"))
         if not any(header.name == "host" for header in headers):
             # HTTP/1.0 callers need not send one, but the target does get 1.1.
