--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,10 @@
 .PHONY: setup test lint format demo bench faults capacity plots mutations
 setup: $(READY)
 
-$(READY): requirements.lock $(wildcard packages/*/pyproject.toml)
+$(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet -r requirements.lock
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach p,core adapters daemon client standins,-e packages/$(p))
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach p,core adapters daemon client standins,-e packages/$(p)) -e platform
 	touch $(READY)
 
 test: setup
@@ -17,7 +17,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages
+	$(BIN)/mypy packages platform/src
 
 format: setup
 	$(BIN)/ruff format .
--- /dev/null
+++ b/packages/adapters/src/bramleyglade_adapters/http/small_server.py
@@ -0,0 +1,78 @@
+"""Whole requests and small answers, for endpoints beside the callers' one."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from bramleyglade_adapters.http.server_connection import RequestHead, ServerConnection
+from bramleyglade_adapters.http.wire import prepare_socket
+from bramleyglade_core.model.errors import BadRequest, ErrorCode
+from bramleyglade_core.model.exchange import Header
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+_MAX_BODY_BYTES = 16_384
+_IDLE_SECONDS = 60.0
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class SmallAnswer:
+    """An answer whose body is JSON, or empty."""
+
+    status: int
+    body: bytes = b"{}"
+
+
+Answerer = Callable[[RequestHead, bytes], Awaitable[SmallAnswer]]
+"""Answers one whole request."""
+
+
+class SmallServer:
+    """Serves connections, one request after another."""
+
+    def __init__(self, answerer: Answerer) -> None:
+        self._answerer = answerer
+
+    async def serve(self, sock: Socket, address: Any) -> None:
+        """Serve one connection until it ends."""
+        prepare_socket(sock)
+        connection = ServerConnection(sock)
+        try:
+            while await self._serve_one(connection):
+                pass
+        except (OSError, BadRequest, curio.TaskTimeout) as error:
+            _LOG.debug("ClientGone", extra={"why": str(error)})
+
+    async def _serve_one(self, connection: ServerConnection) -> bool:
+        async with curio.timeout_after(_IDLE_SECONDS):
+            head = await connection.receive_request()
+            if head is None:
+                return False
+            body = await _read_body(connection)
+        answer = await self._answerer(head, body)
+        headers = [
+            Header("content-type", "application/json"),
+            Header("content-length", str(len(answer.body))),
+        ]
+        connection.start_answer(answer.status, headers)
+        connection.continue_answer(answer.body)
+        connection.end_answer()
+        await connection.flush()
+        return connection.is_reusable
+
+
+async def _read_body(connection: ServerConnection) -> bytes:
+    pieces = bytearray()
+    while (data := await connection.receive_body()) is not None:
+        pieces += data
+        if len(pieces) > _MAX_BODY_BYTES:
+            raise BadRequest(ErrorCode.BODY_TOO_LARGE, "the body is too large")
+    return bytes(pieces)
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -91,6 +91,7 @@
   upTo @1 :UInt64;
   states @2 :Data;
   assignments @3 :Data;
+  wholeTicket @4 :UInt64;
 }
 
 struct RecordsAsked {}
@@ -171,6 +172,8 @@
   isIdempotent @8 :Bool;
   hasBody @9 :Bool;
   traceparent @10 :Text;
+  requestId @11 :Text;
+  priority @12 :UInt32;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/adapters/src/bramleyglade_adapters/logs.py
+++ b/packages/adapters/src/bramleyglade_adapters/logs.py
@@ -1,10 +1,10 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 from __future__ import annotations
 
 import json
 import logging
-import sys
+from typing import TextIO
 
 _STANDARD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
@@ -28,13 +28,14 @@
         return json.dumps(line, default=str)
 
 
-def set_up_logs(level: str) -> None:
-    """Send all logs of the process to standard error as JSON lines.
+def set_up_logs(level: str, stream: TextIO) -> None:
+    """Send all logs of the process to a stream as JSON lines.
 
     Args:
         level: Name of the lowest level that is written, such as `INFO`.
+        stream: Where the lines go.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonLineFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
+++ b/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
@@ -62,15 +62,21 @@
     """
     states: list[EntityState] = []
     assignments: list[KeeperAssignment] = []
+    whole_ticket = 0
     for stored in listing.objects:
         try:
             if stored.key.startswith(TICKET_PREFIX):
-                states += read_ticket(stored).states(stored.revision)
+                ticket = read_ticket(stored)
+                states += ticket.states(stored.revision)
+                if ticket.is_whole:
+                    whole_ticket = max(whole_ticket, ticket.number)
             elif stored.key.startswith(KEEPER_PREFIX):
                 assignments.append(_read_assignment(stored))
         except BadInput as error:
             _LOG.error("ObjectUnreadable", extra={"key": stored.key, "why": str(error)})
-    return SharedBatch(after, listing.revision, tuple(states), tuple(assignments))
+    return SharedBatch(
+        after, listing.revision, tuple(states), tuple(assignments), whole_ticket
+    )
 
 
 def read_members(listing: Listing) -> list[MemberRecord]:
--- a/packages/core/src/bramleyglade_core/decisions/attempt_table.py
+++ b/packages/core/src/bramleyglade_core/decisions/attempt_table.py
@@ -125,6 +125,10 @@
         if record is not None and record.phase is AttemptPhase.STARTED:
             self._set(attempt, AttemptPhase.BROKEN)
 
+    def revoke(self, attempt: AttemptId) -> None:
+        """Note that the target said that it has not run a started attempt."""
+        self._set(attempt, AttemptPhase.FENCED)
+
     def find(self, attempt: AttemptId) -> AttemptRecord | None:
         """Return what is known of an attempt."""
         return self._record_by_attempt.get(attempt)
--- a/packages/core/src/bramleyglade_core/decisions/configuration.py
+++ b/packages/core/src/bramleyglade_core/decisions/configuration.py
@@ -6,7 +6,14 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from bramleyglade_core.decisions.routing import Router
-from bramleyglade_core.model.entities import Route, Service, Team, Zone
+from bramleyglade_core.model.entities import (
+    CallerLimits,
+    Route,
+    Service,
+    Team,
+    Zone,
+)
+from bramleyglade_core.model.tickets import WHOLE_KINDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -14,17 +21,25 @@
     from bramleyglade_core.model.entities import EntityKey
     from bramleyglade_core.model.tickets import EntityState
 
-AnyEntity = TypeVar("AnyEntity", Zone, Service, Route, Team)
+AnyEntity = TypeVar("AnyEntity", Zone, Service, Route, Team, CallerLimits)
+
+_DEFAULT_LIMITS = CallerLimits()
 
 
 class Configuration:
     """An immutable merge of entity states, with the indexes that requests need."""
 
-    def __init__(self, state_by_key: Mapping[EntityKey, EntityState]) -> None:
+    def __init__(
+        self, state_by_key: Mapping[EntityKey, EntityState], whole_ticket: int = 0
+    ) -> None:
         self.state_by_key = state_by_key
         """State of each entity ever configured; removed ones as tombstones."""
+        self.whole_ticket = whole_ticket
+        """Highest ticket that carried everything; 0 if none did."""
 
-    def merged(self, states: Iterable[EntityState]) -> Configuration:
+    def merged(
+        self, states: Iterable[EntityState], whole_ticket: int = 0
+    ) -> Configuration:
         """Return the configuration with more states merged in.
 
         The merge is commutative and idempotent: the highest ticket wins, in
@@ -32,19 +47,26 @@
 
         Args:
             states: States of one or more whole tickets.
+            whole_ticket: Highest ticket among those merged that carried all
+                entities; what earlier ones set is void.
 
         Returns:
             A new configuration, or this one if nothing changes.
         """
+        whole = max(self.whole_ticket, whole_ticket)
+        is_changed = whole > self.whole_ticket
         merged = dict(self.state_by_key)
-        is_changed = False
+        if is_changed:
+            merged = {k: s for k, s in merged.items() if not _is_void(s, whole)}
         for state in states:
             known = merged.get(state.key)
             if known is not None and known.ticket >= state.ticket:
                 continue
+            if _is_void(state, whole):
+                continue
             merged[state.key] = state
             is_changed = True
-        return Configuration(merged) if is_changed else self
+        return Configuration(merged, whole) if is_changed else self
 
     def states_after(self, revision: int) -> tuple[EntityState, ...]:
         """Return the states that tickets accepted after a revision have set."""
@@ -66,6 +88,12 @@
         """Teams in force."""
         return self._entities(Team)
 
+    @cached_property
+    def caller_limits(self) -> CallerLimits:
+        """What callers may send."""
+        found = self._entities(CallerLimits)
+        return found.get(_DEFAULT_LIMITS.name, _DEFAULT_LIMITS)
+
     @cached_property
     def route_by_name(self) -> dict[str, Route]:
         """Routes in force."""
@@ -96,5 +124,9 @@
         }
 
 
+def _is_void(state: EntityState, whole_ticket: int) -> bool:
+    return state.ticket < whole_ticket and state.key.kind in WHOLE_KINDS
+
+
 EMPTY_CONFIGURATION = Configuration({})
 """What a daemon knows before the first word of the store or of a peer."""
--- a/packages/core/src/bramleyglade_core/decisions/retry_budget.py
+++ b/packages/core/src/bramleyglade_core/decisions/retry_budget.py
@@ -10,7 +10,7 @@
     from bramleyglade_core.model.settings import FrontSettings
 
 _FULL_BUDGET = 20.0
-"""Retries that a quiet front has in hand."""
+"""Retries that a quiet front has in hand where the fleet has no common floor."""
 
 
 class RetryBudget:
@@ -18,11 +18,23 @@
 
     def __init__(self, settings: FrontSettings) -> None:
         self._settings = settings
+        self._full = _FULL_BUDGET
         self._retries = _FULL_BUDGET
+        if settings.retry_floor is not None:
+            self._full = self._retries = 1.0
+
+    def share_floor(self, daemons: int) -> None:
+        """Take this daemon's part of the floor that all daemons have together.
+
+        Args:
+            daemons: Daemons in the fleet, this one included.
+        """
+        if self._settings.retry_floor is not None:
+            self._full = max(1.0, self._settings.retry_floor / max(1, daemons))
 
     def note_first_attempt(self) -> None:
         """Earn a part of a retry."""
-        self._retries = min(_FULL_BUDGET, self._retries + self._settings.retry_share)
+        self._retries = min(self._full, self._retries + self._settings.retry_share)
 
     def try_spend(self) -> bool:
         """Spend one retry; False if there is none."""
--- a/packages/core/src/bramleyglade_core/decisions/routing.py
+++ b/packages/core/src/bramleyglade_core/decisions/routing.py
@@ -7,7 +7,7 @@
 from bramleyglade_core.model.errors import BadRequest, ErrorCode, RouteRefused
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from bramleyglade_core.model.entities import Route
     from bramleyglade_core.model.exchange import Header
@@ -72,20 +72,22 @@
 
 
 class Router:
-    """Finds the route with the longest prefix of whole segments."""
+    """Finds the route of a host with the longest prefix of whole segments."""
 
     def __init__(self, routes: Iterable[Route]) -> None:
         """Index the routes; of two on one prefix and method the first wins."""
-        self._routes_by_prefix: dict[str, list[Route]] = {}
+        self._routes_by_prefix_by_host: dict[str, dict[str, list[Route]]] = {}
         for route in routes:
-            self._routes_by_prefix.setdefault(route.path_prefix, []).append(route)
+            by_prefix = self._routes_by_prefix_by_host.setdefault(route.host, {})
+            by_prefix.setdefault(route.path_prefix, []).append(route)
 
-    def match(self, method: str, path: str) -> Route:
+    def match(self, method: str, path: str, host: str = "") -> Route:
         """Find the route of a request.
 
         Args:
             method: HTTP method in upper case.
             path: A path that `check_path` has let through.
+            host: Host that the request names, in lower case without a port.
 
         Returns:
             The route.
@@ -93,18 +95,32 @@
         Raises:
             RouteRefused: If no route takes the path, or none the method.
         """
-        prefix = path if len(path) == 1 else path.rstrip("/")
         is_path_known = False
-        while True:
-            for route in self._routes_by_prefix.get(prefix or "/", ()):
-                is_path_known = True
-                if not route.methods or method in route.methods:
-                    return route
-            if prefix in ("", "/"):
-                break
-            prefix = prefix.rpartition("/")[0]
+        for by_prefix in self._tables(host):
+            for prefix in _prefixes(path):
+                for route in by_prefix.get(prefix, ()):
+                    is_path_known = True
+                    if not route.methods or method in route.methods:
+                        return route
         if is_path_known:
             raise RouteRefused(
                 ErrorCode.METHOD_NOT_ALLOWED, f"no route takes {method} here"
             )
         raise RouteRefused(ErrorCode.NO_ROUTE, "no route takes this path")
+
+    def _tables(self, host: str) -> Iterator[dict[str, list[Route]]]:
+        """Yield the routes of a host and those for every host."""
+        for name in dict.fromkeys((host, "")):
+            by_prefix = self._routes_by_prefix_by_host.get(name)
+            if by_prefix is not None:
+                yield by_prefix
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield what may stand as a prefix of a path, the longest first."""
+    end = len(path)
+    while end > 0:
+        yield path[:end]
+        cut = path.rfind("/", 0, end)
+        end = cut + 1 if cut + 1 < end else cut
+    yield "/"
--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -21,6 +21,8 @@
     up_to: int
     states: tuple[EntityState, ...] = ()
     assignments: tuple[KeeperAssignment, ...] = ()
+    whole_ticket: int = 0
+    """Highest ticket that carried all entities; 0 if none did."""
 
 
 class SharedView:
@@ -46,7 +48,7 @@
         self.hear(batch.up_to)
         if batch.after > self.revision:
             return False
-        self.configuration = self.configuration.merged(batch.states)
+        self.configuration = self.configuration.merged(batch.states, batch.whole_ticket)
         for assignment in batch.assignments:
             self._merge_assignment(assignment)
         self.revision = max(self.revision, batch.up_to)
@@ -72,6 +74,7 @@
             up_to=self.revision,
             states=self.configuration.states_after(revision),
             assignments=tuple(a for a in assignments if a.revision > revision),
+            whole_ticket=self.configuration.whole_ticket,
         )
 
     def _merge_assignment(self, assignment: KeeperAssignment) -> None:
--- a/packages/core/src/bramleyglade_core/decisions/ticket_check.py
+++ b/packages/core/src/bramleyglade_core/decisions/ticket_check.py
@@ -9,6 +9,7 @@
 
 from bramleyglade_core.decisions.configuration import Configuration
 from bramleyglade_core.model.entities import (
+    CallerLimits,
     Entity,
     EntityKey,
     Route,
@@ -73,7 +74,8 @@
         All problems; empty if the ticket may be applied.
     """
     found = list(_superseded(configuration, ticket))
-    after = configuration.merged(ticket.states())
+    whole_ticket = ticket.number if ticket.is_whole else 0
+    after = configuration.merged(ticket.states(), whole_ticket)
     for key, state in after.state_by_key.items():
         if state.entity is not None:
             found += [TicketProblem(str(key), d) for d in _faults(state.entity, after)]
@@ -113,8 +115,9 @@
 
 @_faults.register
 def _(route: Route, after: Configuration) -> Iterator[str]:
-    if route.service not in after.service_by_name:
-        yield f"service {route.service!r} does not exist"
+    for service in (route.service, *(part.service for part in route.split)):
+        if service not in after.service_by_name:
+            yield f"service {service!r} does not exist"
     for name in route.teams:
         if name not in after.team_by_name:
             yield f"team {name!r} does not exist"
@@ -131,8 +134,14 @@
             yield f"has a key that is also a key of team {holder.name!r}"
 
 
+@_faults.register
+def _(limits: CallerLimits, after: Configuration) -> Iterator[str]:
+    if limits.name != CallerLimits().name:
+        yield f"must be named {CallerLimits().name!r}"
+
+
 def _overlap(route: Route, other: Route) -> bool:
-    if route.path_prefix != other.path_prefix:
+    if route.host != other.host or route.path_prefix != other.path_prefix:
         return False
     if not route.methods or not other.methods:
         return True
--- a/packages/core/src/bramleyglade_core/model/announcements.py
+++ b/packages/core/src/bramleyglade_core/model/announcements.py
@@ -39,6 +39,19 @@
             raise ValueError("connections must be at least 1")
 
 
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """One word of a target about itself, of which later ones may come earlier."""
+
+    announced: TargetAnnouncement
+    started_at: int
+    """Wall-clock time at which this run of the target started, in milliseconds."""
+    sequence: int
+    """Grows with each word of this run."""
+    cold_seconds: float = 0.0
+    """How much longer the target is slow after its start."""
+
+
 class DaemonPhase(Enum):
     """How far a daemon is in its life."""
 
--- a/packages/core/src/bramleyglade_core/model/entities.py
+++ b/packages/core/src/bramleyglade_core/model/entities.py
@@ -1,4 +1,4 @@
-"""The entities that operators configure: zones, services, routes and teams."""
+"""The entities that operators configure: zones, services, routes, teams, limits."""
 
 from __future__ import annotations
 
@@ -8,6 +8,9 @@
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 """Methods that HTTP defines as idempotent (RFC 9110, 9.2.2)."""
 
+UNLIMITED_RATE = 10_000_000.0
+"""Requests a second of a team that has no limit; above what a fleet can serve."""
+
 MAX_NAME_LENGTH = 128
 """Longest name of an entity, in characters."""
 
@@ -43,9 +46,15 @@
     """Least share of the announced slots that ejections leave healthy, 0 to 1."""
     timeout_seconds: float = 30.0
     """Deadline of a request that states none, in seconds."""
+    health_path: str = ""
+    """Path of the targets' health check; empty if they have none."""
+    cold_per_second: float | None = None
+    """Requests a second that a cold target bears; None if it must be found out."""
 
     def __post_init__(self) -> None:
         _check_name(self.name)
+        if self.cold_per_second is not None and self.cold_per_second <= 0:
+            raise ValueError("cold_per_second must be above 0")
         if not self.zones:
             raise ValueError("a service needs at least one zone")
         if len(set(self.zones)) != len(self.zones):
@@ -56,6 +65,19 @@
             raise ValueError("timeout_seconds must lie between 0 and 86400")
 
 
+@dataclass(frozen=True, slots=True)
+class SplitPart:
+    """One service's part of a route's requests."""
+
+    service: str
+    weight: float
+    """Relative to the sum over all parts."""
+
+    def __post_init__(self) -> None:
+        if self.weight < 0:
+            raise ValueError("weight must not be below 0")
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """Which requests go to which service, and who may send them."""
@@ -63,7 +85,10 @@
     name: str
     service: str
     path_prefix: str
-    """Whole path segments, such as `/catalogue`; `/` takes every path."""
+    """Whole path segments, such as `/catalogue`; `/` takes every path.
+
+    With a slash at its end it takes only what lies below it.
+    """
     methods: tuple[str, ...] = ()
     """Methods taken; empty for all."""
     open_to_all: bool = False
@@ -72,13 +97,29 @@
     """Teams that may use the route; empty for every team."""
     idempotent: bool | None = None
     """Whether requests may run twice; None to go by the method."""
+    host: str = ""
+    """Host that requests name; empty for every host."""
+    split: tuple[SplitPart, ...] = ()
+    """Services that share the requests by weight; empty for `service` alone."""
+    max_attempts: int | None = None
+    """Targets that one request may be sent to; None for the front's setting."""
+    timeout_seconds: float | None = None
+    """Longest time a request is kept waiting; None for the service's."""
+    objective_seconds: float | None = None
+    """Latency objective; None if the route has none."""
+    priority: int = 0
+    """Rank of the requests; 0 is the most urgent."""
 
     def __post_init__(self) -> None:
         _check_name(self.name)
         if not self.path_prefix.startswith("/"):
             raise ValueError("path_prefix must start with '/'")
-        if self.path_prefix != "/" and self.path_prefix.endswith("/"):
-            raise ValueError("path_prefix must not end with '/'")
+        if self.max_attempts is not None and self.max_attempts < 1:
+            raise ValueError("max_attempts must be at least 1")
+        if self.timeout_seconds is not None and self.timeout_seconds <= 0:
+            raise ValueError("timeout_seconds must be above 0")
+        if self.split and not any(part.weight > 0 for part in self.split):
+            raise ValueError("a part of the split needs a weight above 0")
         if any(part in ("", ".", "..") for part in self.path_prefix.split("/")[1:-1]):
             raise ValueError("path_prefix has an empty or dotted segment")
         if any(c in self.path_prefix for c in "%\\?#"):
@@ -111,10 +152,17 @@
     """Requests above the rate that may come at once."""
     key_hashes: tuple[str, ...] = ()
     """SHA-256 of each key in force, in hexadecimal."""
+    priority: int | None = None
+    """Rank of the team's requests, before the route's; None for the route's."""
+
+    @property
+    def is_unlimited(self) -> bool:
+        """Whether the team's requests are not counted."""
+        return self.rate >= UNLIMITED_RATE
 
     def __post_init__(self) -> None:
         _check_name(self.name)
-        if not 0.0 < self.rate <= 10_000_000.0:
+        if not 0.0 < self.rate <= UNLIMITED_RATE:
             raise ValueError("rate must be above 0 and at most 10000000")
         if not 1 <= self.burst <= 10_000_000:
             raise ValueError("burst must lie between 1 and 10000000")
@@ -123,7 +171,27 @@
                 raise ValueError("a key hash has 64 hexadecimal digits")
 
 
-Entity = Union[Zone, Service, Route, Team]
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send and how long they may take; there is one of these."""
+
+    name: str = "callers"
+    max_head_bytes: int = 65_536
+    max_body_bytes: int = 1_099_511_627_776
+    head_seconds: float = 10.0
+    """Time that a caller has for the head of a request, once begun."""
+    idle_seconds: float = 60.0
+    """Idle time after which a caller's connection is closed."""
+
+    def __post_init__(self) -> None:
+        _check_name(self.name)
+        if self.max_head_bytes < 1 or self.max_body_bytes < 0:
+            raise ValueError("max_head_bytes and max_body_bytes must be positive")
+        if self.head_seconds <= 0 or self.idle_seconds <= 0:
+            raise ValueError("head_seconds and idle_seconds must be above 0")
+
+
+Entity = Union[Zone, Service, Route, Team, CallerLimits]
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -131,7 +199,7 @@
     """What names an entity in the configuration."""
 
     kind: str
-    """`zone`, `service`, `route` or `team`."""
+    """`zone`, `service`, `route`, `team` or `limits`."""
     name: str
 
     def __str__(self) -> str:
@@ -143,6 +211,7 @@
     Service: "service",
     Route: "route",
     Team: "team",
+    CallerLimits: "limits",
 }
 
 
--- a/packages/core/src/bramleyglade_core/model/exchange.py
+++ b/packages/core/src/bramleyglade_core/model/exchange.py
@@ -38,6 +38,10 @@
     has_body: bool
     traceparent: str = ""
     """W3C trace context; empty when the request is not traced."""
+    request_id: str = ""
+    """The caller's name for the request, for logs and to know its answer by."""
+    priority: int = 0
+    """Rank in the queue; 0 is the most urgent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,4 +77,13 @@
     """Seconds; None when unknown."""
 
 
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer held back until its end has come."""
+
+    started: AnswerStarted
+    body: bytes
+    trailers: tuple[Header, ...] = ()
+
+
 AnswerEvent = Union[AnswerStarted, AnswerContinued, AnswerEnded, AttemptFailed]
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -74,6 +74,8 @@
     up_to: int
     states: bytes
     assignments: bytes
+    whole_ticket: int = 0
+    """Highest ticket that carried all entities; 0 if none did."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from bramleyglade_core.model.identifiers import Address
 
@@ -12,6 +13,17 @@
         raise ValueError(message)
 
 
+class OutagePolicy(Enum):
+    """What becomes of a daemon's lease while it has no fresh evidence."""
+
+    MAJORITY = "majority"
+    """It is extended while most of a sample say that the store is away."""
+    STOP = "stop"
+    """It lapses; for a store that may refuse daemons while it serves operators."""
+    GO_ON = "go-on"
+    """Keyed work goes on with the newest configuration known."""
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseSettings:
     """Times of the lease under keyed work, shares and keepers."""
@@ -24,11 +36,20 @@
     """Members asked whether the store is away; the whole fleet if it is smaller."""
     refresh_seconds: float = 1.5
     """Time between two attempts to gain fresh evidence."""
+    stale_seconds: float = 3.0
+    """Age of relayed evidence at which a daemon asks the store itself."""
+    readers: int = 16
+    """Daemons of the whole fleet that ask the store for all."""
+    has_watches: bool = True
+    """Whether the store's watches can be relied on; else it is read each time."""
+    outage: OutagePolicy = OutagePolicy.MAJORITY
 
     def __post_init__(self) -> None:
         _require(self.term_seconds > 0, "term_seconds must be above 0")
         _require(self.margin_seconds > 0, "margin_seconds must be above 0")
         _require(self.sample_size >= 3, "sample_size must be at least 3")
+        _require(self.readers >= 1, "readers must be at least 1")
+        _require(self.stale_seconds > 0, "stale_seconds must be above 0")
         _require(
             0 < self.refresh_seconds < self.term_seconds,
             "refresh_seconds must lie between 0 and term_seconds",
@@ -126,6 +147,9 @@
     """Time a caller has for the head of a request, once begun."""
     retry_share: float = 0.2
     """Retries and hedges, as a share of first attempts."""
+    retry_floor: float | None = None
+    """Retries that all daemons together have beside that share; None if each
+    has a store of its own."""
     max_attempts: int = 3
     key_header: str = "x-api-key"
     """Header that carries the team's key, in lower case."""
@@ -200,6 +224,8 @@
     """Peers to learn from while the store is away."""
     stop_seconds: float = 30.0
     """Longest graceful stop."""
+    notice_seconds: float = 1.0
+    """Time for which a leaving daemon still answers on open connections."""
     lease: LeaseSettings = field(default_factory=LeaseSettings)
     limits: LimitSettings = field(default_factory=LimitSettings)
     health: HealthSettings = field(default_factory=HealthSettings)
@@ -212,3 +238,7 @@
         _require(bool(self.name), "name must not be empty")
         _require(bool(self.zone), "zone must not be empty")
         _require(self.stop_seconds > 0, "stop_seconds must be above 0")
+        _require(
+            0 <= self.notice_seconds < self.stop_seconds,
+            "notice_seconds must lie between 0 and stop_seconds",
+        )
--- a/packages/core/src/bramleyglade_core/model/tickets.py
+++ b/packages/core/src/bramleyglade_core/model/tickets.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+WHOLE_KINDS = frozenset({"service", "route", "team", "limits"})
+"""Kinds that a whole ticket carries; zones are taken out and back by themselves."""
+
 MAX_TICKET_NUMBER = 10**12 - 1
 """Largest ticket number; numbers are twelve digits in the store's keys."""
 
@@ -24,6 +27,11 @@
     """Entities with their whole new state."""
     removed: tuple[EntityKey, ...] = ()
     """Entities that cease to exist."""
+    is_whole: bool = False
+    """True if the ticket carries all entities of `WHOLE_KINDS`.
+
+    What earlier tickets set of these kinds is void then.
+    """
 
     def __post_init__(self) -> None:
         if not 1 <= self.number <= MAX_TICKET_NUMBER:
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/ports/dialect.py
@@ -0,0 +1,89 @@
+"""How callers and targets say what the fleet needs to know of a request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from bramleyglade_core.model.errors import ErrorCode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bramleyglade_core.model.exchange import AnswerStarted, Header
+    from bramleyglade_core.model.verdict import Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class CallerTerms:
+    """What a caller's headers say of its request."""
+
+    request_id: str = ""
+    """The caller's name for the request; empty if it gave none."""
+    key: str = ""
+    seconds: float | None = None
+    """How long the caller will wait; None if it did not say."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedTerms:
+    """What the front tells a target beside the caller's own headers."""
+
+    request_id: str
+    team: str
+    """Empty on routes open to all."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetTerms:
+    """What the guard tells a target at the last moment."""
+
+    left_seconds: float
+    """Time left until the request's deadline."""
+    instance: str
+    """The run of the target that the request is meant for; may be empty."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerTerms:
+    """What the head of an answer says of the exchange."""
+
+    fault: ErrorCode | None = None
+    """Why the answer is not taken; None if it is."""
+    detail: str = ""
+    is_not_run: bool = False
+    """True if the target says that it has not run the request."""
+    is_other_instance: bool = False
+    """True if another run of the target, or another target, has answered."""
+    is_failure: bool = False
+    """True if the target failed at the request."""
+
+
+class Dialect(Protocol):
+    """Reads and writes the headers in which a deployment says such things."""
+
+    def read_caller(self, headers: Iterable[Header]) -> CallerTerms:
+        """Read the headers of a caller's request.
+
+        Raises:
+            BadRequest: If they can't be understood.
+        """
+
+    def forward(
+        self, headers: Iterable[Header], terms: ForwardedTerms
+    ) -> tuple[Header, ...]:
+        """Return what a target may see of a request's headers; never the key."""
+
+    def target_headers(self, terms: TargetTerms) -> tuple[Header, ...]:
+        """Return the headers that the guard adds."""
+
+    def judge_answer(self, started: AnswerStarted, request_id: str) -> AnswerTerms:
+        """Judge the head of an answer to a request of this name."""
+
+    def outcome_headers(
+        self, verdict: Verdict, code: str, request_id: str
+    ) -> list[Header]:
+        """Return the headers that tell a caller what became of its request."""
+
+    def retry_after(self, seconds: float) -> str:
+        """Write a time after which to come back."""
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -4,12 +4,15 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import curio
 from curio.io import Socket
 
+from bramleyglade_adapters.http.small_server import SmallServer
 from bramleyglade_core.model.announcements import DaemonPhase
+from bramleyglade_core.model.identifiers import Address
 from bramleyglade_daemon.fleet.keepers import Keepers
 from bramleyglade_daemon.fleet.membership import Membership
 from bramleyglade_daemon.fleet.message_handler import MessageHandler
@@ -26,16 +29,12 @@
 
 if TYPE_CHECKING:
     from bramleyglade_adapters.link.link import Link
-    from bramleyglade_core.model.identifiers import Address
     from bramleyglade_core.model.peer_messages import HelloSaid
     from bramleyglade_daemon.fleet.context import Context
 
 _BACKLOG = 512
 _CRASH_PAUSE_SECONDS = 1.0
 _STOP_LOOK_SECONDS = 0.05
-_NOTICE_SECONDS = 1.0
-"""Time for which a leaving daemon still answers on open connections."""
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -43,6 +42,14 @@
 """Serves one connection until it ends."""
 
 
+@dataclass(frozen=True, slots=True)
+class Entrance:
+    """An address to listen on, and what serves its connections."""
+
+    address: Address
+    serve: Server
+
+
 class Daemon:
     """Puts the parts together and runs their tasks."""
 
@@ -64,6 +71,13 @@
         self.guard.on_changed = self.membership.publish
         self.shared.on_extended = self.limiter.extend
         self.keepers.on_recalled = self.limiter.recall
+        announcer = AnnounceServer(context, self.guard)
+        self.entrances: list[Entrance] = [
+            Entrance(
+                context.settings.announce_address, SmallServer(announcer.answer).serve
+            )
+        ]
+        """Where others than callers and peers connect."""
         self._tasks: list[curio.Task] = []
         self._callers: curio.Task | None = None
 
@@ -83,9 +97,9 @@
             Ejector(self.context, self.guard, self.keepers).run,
         ):
             self._tasks.append(await curio.spawn(_run_for_ever, work, daemon=True))
-        announcer = AnnounceServer(self.context, self.guard)
         await self._listen(settings.peer_address, self.peers.accept)
-        await self._listen(settings.announce_address, announcer.serve)
+        for entrance in self.entrances:
+            await self._listen(entrance.address, entrance.serve)
         self._callers = await self._listen(settings.caller_address, self.front.serve)
         _LOG.info("DaemonStarted", extra={"daemon": settings.name})
 
@@ -94,10 +108,11 @@
         _LOG.info("DaemonStopping", extra={"daemon": self.context.settings.name})
         self.context.phase = DaemonPhase.LEAVING
         await self.membership.publish()
-        if self._callers is not None:
-            await self._callers.cancel()
         async with curio.ignore_after(self.context.settings.stop_seconds):
-            await curio.sleep(_NOTICE_SECONDS)
+            # Callers may still come until they know that this daemon leaves.
+            await curio.sleep(self.context.settings.notice_seconds)
+            if self._callers is not None:
+                await self._callers.cancel()
             await self._wait_idle()
             await self.limiter.release_all()
             await self.keepers.hand_over_all()
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -6,10 +6,13 @@
 import time
 from typing import TYPE_CHECKING
 
+from bramleyglade_adapters.clocks import boot_clock
+from bramleyglade_adapters.http.fleet_dialect import FleetDialect
 from bramleyglade_core.decisions.directory import Directory
 from bramleyglade_core.decisions.lease import Lease, StoreContact
 from bramleyglade_core.decisions.picker import Picker
 from bramleyglade_core.decisions.shared_view import SharedView
+from bramleyglade_core.decisions.splitter import Splitter
 from bramleyglade_core.model.announcements import DaemonPhase, MemberRecord
 from bramleyglade_core.model.identifiers import DaemonId
 
@@ -19,6 +22,7 @@
     from bramleyglade_core.model.announcements import TargetAnnouncement
     from bramleyglade_core.model.settings import DaemonSettings
     from bramleyglade_core.ports.clock import Clock
+    from bramleyglade_core.ports.dialect import Dialect
     from bramleyglade_core.ports.store import ObjectStore
 
 _NANOSECONDS_PER_MICROSECOND = 1000
@@ -37,9 +41,10 @@
         settings: DaemonSettings,
         store: ObjectStore,
         telemetry: Telemetry,
-        clock: Clock = time.monotonic,
+        clock: Clock = boot_clock,
         random_source: random.Random | None = None,
         incarnation: int | None = None,
+        dialect: Dialect | None = None,
     ) -> None:
         self.settings = settings
         self.store = store
@@ -52,6 +57,8 @@
         self.lease = Lease(settings.lease, clock)
         self.contact = StoreContact(clock)
         self.picker = Picker(settings.zone, self.random)
+        self.splitter = Splitter(self.random)
+        self.dialect: Dialect = dialect or FleetDialect(settings.front)
         self.phase = DaemonPhase.SERVING
         self.discovered_at: float | None = None
         """When the members were first read from the store; None before."""
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -29,6 +29,7 @@
     SightAsked,
     SightTold,
 )
+from bramleyglade_core.model.settings import OutagePolicy
 from bramleyglade_daemon.fleet.peers import expect
 
 if TYPE_CHECKING:
@@ -40,9 +41,6 @@
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.peers import Peers
 
-_WATCHERS = 16
-"""Daemons of the whole fleet that keep a watch on the store."""
-
 _ANSWER_SECONDS = 1.0
 """Longest wait for a peer's word."""
 
@@ -125,6 +123,7 @@
             told.up_to,
             states_from_bytes(told.states),
             assignments_from_bytes(told.assignments),
+            told.whole_ticket,
         )
         return await self._apply(batch, link.peer.daemon.name)
 
@@ -140,7 +139,12 @@
         return SightTold(sight.is_away, sight.reached_for_seconds)
 
     async def is_reached_by_majority(self, for_seconds: float) -> bool:
-        """Tell whether most of a sample have reached the store all along."""
+        """Tell whether most of a sample have reached the store all along.
+
+        Where no lease is ever extended, waiting out its term is enough.
+        """
+        if self._context.settings.lease.outage is not OutagePolicy.MAJORITY:
+            return True
         sights = await self._ask_sample()
         return is_reached_by_majority(sights, for_seconds)
 
@@ -149,26 +153,31 @@
         lease = self._context.lease
         if self._is_watcher():
             return await self._watch_store()
-        refresh = self._context.settings.lease.refresh_seconds
-        is_fresh = not lease.is_extended
-        if is_fresh and lease.remaining_seconds > 2 * refresh:
-            await curio.sleep(refresh)
+        settings = self._context.settings.lease
+        least = settings.term_seconds - settings.stale_seconds
+        if not lease.is_extended and lease.fresh_seconds > least:
+            await curio.sleep(settings.refresh_seconds)
             return True
         return await self._read_store()
 
     def _is_watcher(self) -> bool:
         serving = self._context.directory.serving_names()
         own = self._context.settings.name
-        return own in rank("watchers", serving)[:_WATCHERS]
+        readers = self._context.settings.lease.readers
+        return own in rank("watchers", serving)[:readers]
 
     async def _watch_store(self) -> bool:
         view = self._context.view
+        settings = self._context.settings.lease
+        wait = settings.refresh_seconds
         if self._context.lease.is_extended:
             return await self._read_store()
-        wait = self._context.settings.lease.refresh_seconds
-        asked_at = self._context.clock()
+        if not settings.has_watches:
+            await curio.sleep(wait)
+            return await self._read_store()
         try:
             after = view.revision
+            asked_at = self._context.clock()
             listing = await self._context.store.watch(SHARED_PREFIX, after, wait)
         except StoreError:
             self._context.contact.note_failure()
@@ -213,6 +222,8 @@
     async def _extend(self) -> None:
         """Extend an unbroken lease if most of a sample lack the store too."""
         lease = self._context.lease
+        if self._context.settings.lease.outage is not OutagePolicy.MAJORITY:
+            return
         if not lease.is_valid:
             return
         asked_at = self._context.clock()
@@ -277,4 +288,5 @@
         batch.up_to,
         states_to_bytes(batch.states),
         assignments_to_bytes(batch.assignments),
+        batch.whole_ticket,
     )
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -29,18 +29,16 @@
     AnswerStarted,
     AttemptFailed,
     Header,
+    WholeAnswer,
 )
 from bramleyglade_core.model.verdict import Verdict
-from bramleyglade_daemon.front.refusal import (
-    REQUEST_ID_HEADER,
-    outcome_headers,
-    refusal_answer,
-)
+from bramleyglade_core.ports.dialect import ForwardedTerms
+from bramleyglade_daemon.front.refusal import refusal_answer
 from bramleyglade_daemon.front.request import (
     AdmittedRequest,
     BodyFeeder,
-    request_id_of,
-    target_headers,
+    check_length,
+    new_request_id,
     timeout_of,
 )
 
@@ -48,6 +46,8 @@
     from curio.io import Socket
 
     from bramleyglade_adapters.telemetry import Hop
+    from bramleyglade_core.model.entities import Route, Team
+    from bramleyglade_core.ports.dialect import CallerTerms
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.front.dispatcher import Attempts, Dispatcher
     from bramleyglade_daemon.front.team_limiter import TeamLimiter
@@ -135,28 +135,31 @@
         detail = "this VM has all the connections that it takes"
         error = AttemptRefused(ErrorCode.DAEMON_FULL, detail, retry_after=1.0)
         try:
-            async with curio.timeout_after(self._context.settings.front.head_seconds):
+            limits = self._context.configuration.caller_limits
+            async with curio.timeout_after(limits.head_seconds):
                 if await self._connection.receive_request() is not None:
                     await self._refuse(error, "")
         except (OSError, BadRequest, curio.TaskTimeout):
             return
 
     async def _receive_head(self) -> RequestHead | None:
-        settings = self._context.settings.front
-        wait = settings.head_seconds if self.is_busy else settings.idle_seconds
+        limits = self._context.configuration.caller_limits
+        wait = limits.head_seconds if self.is_busy else limits.idle_seconds
         async with curio.timeout_after(wait):
             return await self._connection.receive_request()
 
     async def _serve(self, head: RequestHead) -> None:
         started_at = self._context.clock()
-        request_id = request_id_of(head, self._context.random)
+        request_id = new_request_id(self._context.random)
         traceparent = head.header("traceparent")
         if traceparent:
             traceparent = traceparent_of({"traceparent": traceparent})
         hop = self._context.telemetry.start_hop("front", traceparent, is_root=True)
         code, verdict = _OK, Verdict.RAN
         try:
-            request = await self._admit(head, request_id, hop)
+            terms = self._context.dialect.read_caller(head.headers)
+            request_id = terms.request_id or request_id
+            request = await self._admit(head, terms, request_id, hop)
             await self._run(request, hop)
         except FleetError as error:
             code, verdict = error.code.value, error.verdict
@@ -171,29 +174,41 @@
             self._context.telemetry.note_request(code, verdict.value, seconds)
 
     async def _admit(
-        self, head: RequestHead, request_id: str, hop: Hop
+        self, head: RequestHead, terms: CallerTerms, request_id: str, hop: Hop
     ) -> AdmittedRequest:
+        arrived_at = self._context.clock()
         check_headers(head.headers)
         path = check_path(head.target)
         configuration = self._context.configuration
-        route = configuration.router.match(head.method, path)
-        settings = self._context.settings.front
-        key = head.header(settings.key_header)
-        team = authenticate(configuration, route, key, self._context.lease.is_valid)
-        if team is not None:
+        if not configuration.state_by_key:
+            raise AttemptRefused(
+                ErrorCode.CONFIGURATION_UNKNOWN,
+                "this VM has no configuration yet",
+                retry_after=1.0,
+            )
+        check_length(head, configuration.caller_limits)
+        host = head.header("host").partition(":")[0].lower()
+        route = configuration.router.match(head.method, path, host)
+        is_valid = self._context.lease.is_valid
+        team = authenticate(configuration, route, terms.key, is_valid)
+        if team is not None and not team.is_unlimited:
             await self._front.limiter.admit(team)
-        service = configuration.service_by_name.get(route.service)
+        service_name = self._context.splitter.choose(route)
+        service = configuration.service_by_name.get(service_name)
         if service is None:
             raise AttemptRefused(ErrorCode.NO_TARGET, "the route's service is gone")
         hop.note("route", route.name)
+        team_name = team.name if team is not None else ""
+        forwarded = ForwardedTerms(request_id, team_name)
         return AdmittedRequest(
             head=head,
             route=route,
             service=service,
-            team=team.name if team is not None else "",
+            team=team_name,
             request_id=request_id,
-            deadline=self._context.clock() + timeout_of(head, service),
-            headers=target_headers(head, settings, request_id),
+            deadline=arrived_at + timeout_of(terms, route, service),
+            headers=self._context.dialect.forward(head.headers, forwarded),
+            priority=_priority(route, team),
         )
 
     async def _run(self, request: AdmittedRequest, hop: Hop) -> None:
@@ -206,6 +221,10 @@
                     return
                 attempts.check_retry(failed)
                 await attempts.end()
+        except AttemptRefused:
+            if attempts.spare_answer is None:
+                raise
+            await self._send_whole(attempts.spare_answer, request)
         finally:
             await attempts.end()
 
@@ -247,12 +266,36 @@
                 break
             held += following.data
             following = None
+        if isinstance(following, AnswerEnded):
+            whole = WholeAnswer(event, bytes(held), following.trailers)
+            return await self._finish(attempts, request, whole)
         self._start_answer(event, request)
         if held:
             self._connection.continue_answer(bytes(held))
         await self._relay_rest(attempts, following)
         return None
 
+    async def _finish(
+        self, attempts: Attempts, request: AdmittedRequest, whole: WholeAnswer
+    ) -> AttemptFailed | None:
+        """Send a whole answer, or keep a target's failure while another is tried."""
+        status = whole.started.status
+        judged = self._context.dialect.judge_answer(whole.started, request.request_id)
+        if judged.is_failure and request.is_idempotent:
+            attempts.spare_answer = whole
+            return AttemptFailed(
+                ErrorCode.TARGET_ERROR, f"the target answered {status}", Verdict.RAN
+            )
+        await self._send_whole(whole, request)
+        return None
+
+    async def _send_whole(self, whole: WholeAnswer, request: AdmittedRequest) -> None:
+        self._start_answer(whole.started, request)
+        if whole.body:
+            self._connection.continue_answer(whole.body)
+        self._connection.end_answer(self._clean_trailers(whole.trailers))
+        await self._connection.flush()
+
     async def _relay_rest(self, attempts: Attempts, event: AnswerEvent | None) -> None:
         if event is None:
             await self._connection.flush()
@@ -291,7 +334,8 @@
         return await curio.ignore_after(_QUICK_SECONDS, attempts.stream.receive)
 
     def _start_answer(self, started: AnswerStarted, request: AdmittedRequest) -> None:
-        own = outcome_headers(Verdict.RAN, _OK, request.request_id)
+        dialect = self._context.dialect
+        own = dialect.outcome_headers(Verdict.RAN, _OK, request.request_id)
         names = {header.name for header in own}
         headers = [*(h for h in started.headers if h.name not in names), *own]
         if self._front.invites_to_leave:
@@ -299,14 +343,14 @@
         self._connection.start_answer(started.status, headers)
 
     def _clean_trailers(self, trailers: tuple[Header, ...]) -> list[Header]:
-        reserved = (self._context.settings.front.key_header, REQUEST_ID_HEADER)
-        return [h for h in trailers if h.name not in reserved]
+        reserved = self._context.settings.front.key_header
+        return [h for h in trailers if h.name != reserved]
 
     async def _refuse(self, error: FleetError, request_id: str) -> None:
         if not self._connection.can_answer:
             await self._break_off()
             return
-        answer = refusal_answer(error, request_id)
+        answer = refusal_answer(error, request_id, self._context.dialect)
         headers = list(answer.headers)
         if self._front.invites_to_leave or isinstance(error, BadRequest):
             headers.append(Header("connection", "close"))
@@ -323,3 +367,10 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OFF)
         await self._sock.close()
         raise ConnectionAbortedError("the answer broke off")
+
+
+def _priority(route: Route, team: Team | None) -> int:
+    """Return the rank of a request; a team's own goes before the route's."""
+    if team is not None and team.priority is not None:
+        return team.priority
+    return route.priority
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -17,6 +17,7 @@
     AnswerEvent,
     AttemptFailed,
     AttemptOffered,
+    WholeAnswer,
 )
 from bramleyglade_core.model.identifiers import AttemptId
 from bramleyglade_core.model.verdict import Verdict
@@ -66,6 +67,7 @@
     def start(self, request: AdmittedRequest, feeder: BodyFeeder, hop: Hop) -> Attempts:
         """Begin the attempts of a request."""
         self._last_request += 1
+        self._budget.share_floor(len(self._context.directory.record_by_name))
         self._budget.note_first_attempt()
         return Attempts(self, request, feeder, hop, self._last_request)
 
@@ -117,6 +119,8 @@
         self._port: AttemptPort | None = None
         self.stream: AttemptStream | None = None
         """The stream of the attempt under way."""
+        self.spare_answer: WholeAnswer | None = None
+        """A target's own failure, for the caller if no other attempt goes better."""
 
     async def next_attempt(self) -> None:
         """Offer the request to another target.
@@ -253,15 +257,14 @@
         if failed.verdict is Verdict.NOT_RUN and failed.code in _MISROUTED_CODES:
             self._misrouted += 1
             return self._misrouted <= _MOST_MISROUTED
-        made = self._count - self._misrouted
-        if made >= self._context.settings.front.max_attempts:
+        if self._count - self._misrouted >= self._most_attempts:
             return False
         is_paid, self._is_retry_paid = self._is_retry_paid, False
         return is_paid or self._dispatcher.try_spend_retry()
 
     def _attempt_timeout(self) -> float | None:
         """Return the time for this attempt; None if it must run to its end."""
-        is_last = self._count >= self._context.settings.front.max_attempts
+        is_last = self._count - self._misrouted >= self._most_attempts
         if not self._request.is_idempotent or self._feeder.is_spent or is_last:
             return None
         assert self._candidate is not None
@@ -269,6 +272,11 @@
         left = self._request.deadline - self._context.clock()
         return attempt_timeout(left, view.log_latency if view else None)
 
+    @property
+    def _most_attempts(self) -> int:
+        configured = self._request.route.max_attempts
+        return configured or self._context.settings.front.max_attempts
+
     def _has_other_target(self) -> bool:
         candidates = self._dispatcher.candidates(self._request)
         return any(c.target not in self._tried for c in candidates)
@@ -300,6 +308,8 @@
             is_idempotent=request.is_idempotent,
             has_body=request.head.has_body,
             traceparent=self._hop.traceparent,
+            request_id=request.request_id,
+            priority=request.priority,
         )
 
     async def _ask_outcome(self) -> AttemptStream:
--- a/packages/daemon/src/bramleyglade_daemon/front/refusal.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/refusal.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING
@@ -18,21 +17,16 @@
     RouteRefused,
 )
 from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.model.verdict import Verdict
 
 if TYPE_CHECKING:
-    from bramleyglade_core.model.verdict import Verdict
-
-VERDICT_HEADER = "x-fleet-verdict"
-CODE_HEADER = "x-fleet-code"
-REQUEST_ID_HEADER = "x-request-id"
+    from bramleyglade_core.ports.dialect import Dialect
 
 _UNAUTHORISED_CODES = (ErrorCode.KEY_MISSING, ErrorCode.KEY_UNKNOWN)
-_GATEWAY_CODES = (
-    ErrorCode.TARGET_FAILED,
-    ErrorCode.ANSWER_TRUNCATED,
-    ErrorCode.ANSWER_MALFORMED,
-    ErrorCode.PEER_LOST,
-)
+_STATUS_BY_BAD_REQUEST_CODE = {
+    ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.HEAD_TOO_LARGE: 431,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +46,7 @@
 
 @status_of.register
 def _(error: BadRequest) -> int:
-    return 400
+    return _STATUS_BY_BAD_REQUEST_CODE.get(error.code, 400)
 
 
 @status_of.register
@@ -74,17 +68,21 @@
 
 @status_of.register
 def _(error: AttemptRefused) -> int:
+    # Callers take 503 for a promise that the request has not run.
     if error.code is ErrorCode.DEADLINE_EXCEEDED:
         return 504
-    return 502 if error.code in _GATEWAY_CODES else 503
+    return 503 if error.verdict is Verdict.NOT_RUN else 502
 
 
-def refusal_answer(error: FleetError, request_id: str) -> RefusalAnswer:
+def refusal_answer(
+    error: FleetError, request_id: str, dialect: Dialect
+) -> RefusalAnswer:
     """Make the answer that tells a caller of an error.
 
     Args:
         error: The error, with its code and verdict.
         request_id: Identifier of the request; may be empty.
+        dialect: The headers to say it in.
 
     Returns:
         The answer, with the verdict in a header and in the body.
@@ -99,16 +97,8 @@
     headers = [
         Header("content-type", "application/json"),
         Header("content-length", str(len(body))),
-        *outcome_headers(error.verdict, error.code.value, request_id),
+        *dialect.outcome_headers(error.verdict, error.code.value, request_id),
     ]
     if error.retry_after is not None:
-        headers.append(Header("retry-after", str(max(1, math.ceil(error.retry_after)))))
+        headers.append(Header("retry-after", dialect.retry_after(error.retry_after)))
     return RefusalAnswer(status_of(error), tuple(headers), body)
-
-
-def outcome_headers(verdict: Verdict, code: str, request_id: str) -> list[Header]:
-    """Return the headers that tell a caller what became of the request."""
-    headers = [Header(VERDICT_HEADER, verdict.value), Header(CODE_HEADER, code)]
-    if request_id:
-        headers.append(Header(REQUEST_ID_HEADER, request_id))
-    return headers
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -11,12 +10,11 @@
 from bramleyglade_adapters.http.server_connection import (
     RequestHead,
 )
-from bramleyglade_adapters.http.wire import end_to_end_headers, has_left
+from bramleyglade_adapters.http.wire import has_left
 from bramleyglade_core.model.entities import Route, Service
 from bramleyglade_core.model.errors import BadRequest, ErrorCode
 from bramleyglade_core.model.exchange import AttemptFailed, Header
 from bramleyglade_core.model.verdict import Verdict
-from bramleyglade_daemon.front.refusal import REQUEST_ID_HEADER
 
 if TYPE_CHECKING:
     import random
@@ -24,16 +22,13 @@
     from bramleyglade_adapters.http.server_connection import (
         ServerConnection,
     )
-    from bramleyglade_core.model.settings import FrontSettings
+    from bramleyglade_core.model.entities import CallerLimits
+    from bramleyglade_core.ports.dialect import CallerTerms
     from bramleyglade_core.ports.streams import AttemptStream
 
-DEADLINE_HEADER = "x-request-timeout-seconds"
-"""Header in which a caller may state a shorter deadline, in seconds."""
-
 REPLAY_BYTES = 65_536
 """Largest body that is kept to be sent again with a retry."""
 
-_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _REQUEST_ID_BITS = 64
 
 
@@ -51,6 +46,8 @@
     """Time of this process's clock, in seconds."""
     headers: tuple[Header, ...]
     """Headers for the target, without the key."""
+    priority: int = 0
+    """Rank of the request; 0 is the most urgent."""
 
     @property
     def is_idempotent(self) -> bool:
@@ -58,43 +55,29 @@
         return self.route.is_idempotent(self.head.method)
 
 
-def request_id_of(head: RequestHead, random_source: random.Random) -> str:
-    """Take the caller's request identifier, or make one."""
-    given = head.header(REQUEST_ID_HEADER)
-    if _REQUEST_ID.fullmatch(given):
-        return given
+def new_request_id(random_source: random.Random) -> str:
+    """Make a name for a request whose caller gave none."""
     return f"{random_source.getrandbits(_REQUEST_ID_BITS):016x}"
 
 
-def timeout_of(head: RequestHead, service: Service) -> float:
-    """Return the time that a request has, in seconds.
+def timeout_of(terms: CallerTerms, route: Route, service: Service) -> float:
+    """Return the time that a request has, in seconds."""
+    longest = route.timeout_seconds or service.timeout_seconds
+    return longest if terms.seconds is None else min(terms.seconds, longest)
+
+
+def check_length(head: RequestHead, limits: CallerLimits) -> None:
+    """Refuse a body that is known to be too large.
 
     Raises:
-        BadRequest: If the caller states a deadline that is no positive number.
-    """
-    given = head.header(DEADLINE_HEADER)
-    if not given:
-        return service.timeout_seconds
-    try:
-        seconds = float(given)
-    except ValueError:
-        seconds = 0.0
-    if not 0.0 < seconds < float("inf"):
-        raise BadRequest(ErrorCode.BAD_REQUEST, f"{DEADLINE_HEADER} must be above 0")
-    return min(seconds, service.timeout_seconds)
-
-
-def target_headers(
-    head: RequestHead, settings: FrontSettings, request_id: str
-) -> tuple[Header, ...]:
-    """Return what a target may see of a request's headers.
-
-    The key is left out on every route, and so is what ends at this hop.
+        BadRequest: If the stated length is above the limit.
     """
-    dropped = (settings.key_header, "expect", DEADLINE_HEADER, REQUEST_ID_HEADER)
-    kept = [h for h in end_to_end_headers(head.headers) if h.name not in dropped]
-    kept.append(Header(REQUEST_ID_HEADER, request_id))
-    return tuple(kept)
+    stated = head.header("content-length")
+    if stated and int(stated) > limits.max_body_bytes:
+        raise BadRequest(
+            ErrorCode.BODY_TOO_LARGE,
+            f"{stated} bytes, and {limits.max_body_bytes} are taken",
+        )
 
 
 class BodyFeeder:
--- a/packages/daemon/src/bramleyglade_daemon/guard/announce_server.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/announce_server.py
@@ -7,30 +7,20 @@
 from __future__ import annotations
 
 import json
-import logging
 from typing import TYPE_CHECKING, Any
 
-import curio
-
-from bramleyglade_adapters.http.server_connection import RequestHead, ServerConnection
-from bramleyglade_adapters.http.wire import prepare_socket
+from bramleyglade_adapters.http.small_server import SmallAnswer
 from bramleyglade_adapters.structure import from_json, to_plain
 from bramleyglade_core.model.announcements import TargetAnnouncement
-from bramleyglade_core.model.errors import BadInput, BadRequest, ErrorCode
-from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.model.errors import BadInput, ErrorCode
 
 if TYPE_CHECKING:
-    from curio.io import Socket
-
+    from bramleyglade_adapters.http.server_connection import RequestHead
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.guard.guard import Guard
 
-_MAX_BODY_BYTES = 16_384
-_IDLE_SECONDS = 60.0
 _TARGETS = "/v1/targets"
 
-_LOG = logging.getLogger(__name__)
-
 
 class AnnounceServer:
     """Answers targets and operators on the VM itself."""
@@ -39,41 +29,15 @@
         self._context = context
         self._guard = guard
 
-    async def serve(self, sock: Socket, address: Any) -> None:
-        """Serve one connection, request after request."""
-        prepare_socket(sock)
-        connection = ServerConnection(sock)
+    async def answer(self, head: RequestHead, body: bytes) -> SmallAnswer:
+        """Answer one request of a target or an operator."""
+        status = 200
         try:
-            while True:
-                async with curio.timeout_after(_IDLE_SECONDS):
-                    head = await connection.receive_request()
-                    if head is None:
-                        return
-                    body = await _read_body(connection)
-                await self._answer(connection, head, body)
-                if not connection.is_reusable:
-                    return
-        except (OSError, BadRequest, curio.TaskTimeout) as error:
-            _LOG.debug("AnnouncerGone", extra={"why": str(error)})
-
-    async def _answer(
-        self, connection: ServerConnection, head: RequestHead, body: bytes
-    ) -> None:
-        status, answer = 200, {}
-        try:
-            answer = await self._act(head, body)
+            plain = await self._act(head, body)
         except BadInput as error:
             status = 404 if error.code is ErrorCode.TARGET_UNKNOWN else 400
-            answer = {"code": error.code.value, "detail": error.detail}
-        data = json.dumps(answer).encode()
-        headers = [
-            Header("content-type", "application/json"),
-            Header("content-length", str(len(data))),
-        ]
-        connection.start_answer(status, headers)
-        connection.continue_answer(data)
-        connection.end_answer()
-        await connection.flush()
+            plain = {"code": error.code.value, "detail": error.detail}
+        return SmallAnswer(status, json.dumps(plain).encode())
 
     async def _act(self, head: RequestHead, body: bytes) -> Any:
         path = head.target.partition("?")[0]
@@ -117,12 +81,3 @@
                 if assignment.keeper == context.daemon
             ),
         }
-
-
-async def _read_body(connection: ServerConnection) -> bytes:
-    pieces = bytearray()
-    while (data := await connection.receive_body()) is not None:
-        pieces += data
-        if len(pieces) > _MAX_BODY_BYTES:
-            raise BadRequest(ErrorCode.BAD_REQUEST, "the body is too large")
-    return bytes(pieces)
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -10,6 +10,7 @@
 import curio
 
 from bramleyglade_core.decisions.attempt_table import AttemptTable
+from bramleyglade_core.decisions.report_order import ReportOrder
 from bramleyglade_core.model.errors import AttemptRefused, ErrorCode, FleetError
 from bramleyglade_core.model.identifiers import TargetId
 from bramleyglade_daemon.guard.exchange import QueuedAttempt
@@ -20,7 +21,10 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from bramleyglade_core.model.announcements import TargetAnnouncement
+    from bramleyglade_core.model.announcements import (
+        TargetAnnouncement,
+        TargetReport,
+    )
     from bramleyglade_core.model.exchange import AttemptOffered
     from bramleyglade_core.model.peer_messages import TargetViewTold
     from bramleyglade_daemon.fleet.context import Context
@@ -40,6 +44,7 @@
         self.outcomes = OutcomeDesk(self.attempts)
         self.runner_by_name: dict[str, TargetRunner] = {}
         self._renewed_at_by_name: dict[str, float] = {}
+        self._order = ReportOrder()
         self.on_changed: Callable[[], Awaitable[None]] | None = None
         """Called when the set of targets, or one of them, has changed."""
 
@@ -81,12 +86,7 @@
         is_restart = runner is not None and _is_restart(runner.announced, announced)
         if runner is None:
             runner = TargetRunner(
-                announced,
-                self._context.settings,
-                self.attempts,
-                self.outcomes,
-                self._context.telemetry,
-                self._context.clock,
+                announced, self._context, self.attempts, self.outcomes
             )
             self.runner_by_name[announced.name] = runner
         elif runner.announced.is_draining and not is_restart:
@@ -101,6 +101,24 @@
             await runner.close()
         await self._tell_change("TargetAnnounced", announced.name)
 
+    async def take_report(self, report: TargetReport) -> None:
+        """Take in a target's word about itself, unless a newer one is known."""
+        name = report.announced.name
+        if not self._order.accept(report.started_at, report.sequence):
+            extra = {"target": name, "sequence": report.sequence}
+            _LOG.info("ReportOutdated", extra=extra)
+            return
+        for other in [n for n in self.runner_by_name if n != name]:
+            await self.withdraw(other)
+        await self.announce(report.announced)
+        cold_until = self._context.clock() + report.cold_seconds
+        self.runner_by_name[name].cold.note_cold(cold_until)
+
+    async def depart(self, name: str, started_at: int | None) -> None:
+        """Take out a target that says that it leaves, unless a newer run is here."""
+        if self._order.depart(started_at):
+            await self.withdraw(name)
+
     async def drain(self, name: str) -> None:
         """Send a target no new work."""
         runner = self.runner_by_name.get(name)
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from bramleyglade_core.decisions.cold_gate import ColdGate
 from bramleyglade_core.decisions.ejection import HealthPhase
 from bramleyglade_core.decisions.fair_queue import FairQueue
 from bramleyglade_core.decisions.ramp import ConcurrencyRamp
@@ -18,11 +19,10 @@
 from bramleyglade_daemon.guard.target_worker import TargetWorker
 
 if TYPE_CHECKING:
-    from bramleyglade_adapters.telemetry import Hop, Telemetry
+    from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.attempt_table import AttemptTable
     from bramleyglade_core.model.announcements import TargetAnnouncement
-    from bramleyglade_core.model.settings import DaemonSettings
-    from bramleyglade_core.ports.clock import Clock
+    from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.guard.exchange import AnswerRecorder, QueuedAttempt
     from bramleyglade_daemon.guard.outcomes import OutcomeDesk
 
@@ -41,23 +41,24 @@
     def __init__(
         self,
         announced: TargetAnnouncement,
-        settings: DaemonSettings,
+        context: Context,
         attempts: AttemptTable,
         outcomes: OutcomeDesk,
-        telemetry: Telemetry,
-        clock: Clock,
     ) -> None:
         self.announced = announced
-        self.settings = settings.guard
+        self.settings = context.settings.guard
         self.attempts = attempts
-        self.clock = clock
-        self.health = TargetHealth(settings.health)
+        self.clock = context.clock
+        self.dialect = context.dialect
+        self.health = TargetHealth(context.settings.health)
         self.ramp = ConcurrencyRamp(announced.slots)
+        self.cold = ColdGate()
+        self._context = context
         self._outcomes = outcomes
-        self._telemetry = telemetry
         self._queue: FairQueue[QueuedAttempt] = FairQueue(
-            settings.guard.queue_per_target
+            context.settings.guard.queue_per_target
         )
+        self._is_wake_due = False
         self._running: set[TargetWorker] = set()
         self._idle: list[TargetWorker] = []
         self._seconds_per_exchange: float | None = None
@@ -90,7 +91,8 @@
 
     def start_hop(self, item: QueuedAttempt) -> Hop:
         """Start the span of an exchange with the target."""
-        return self._telemetry.start_hop("target", item.offered.traceparent)
+        telemetry = self._context.telemetry
+        return telemetry.start_hop("target", item.offered.traceparent)
 
     async def submit(self, item: QueuedAttempt) -> None:
         """Take in an attempt, or refuse it at once if it can't be served in time.
@@ -160,6 +162,18 @@
         self.health.note_answer(seconds, now)
         self.ramp.note_good(seconds)
 
+    def note_shed(self, is_other_instance: bool) -> None:
+        """Take in that the target refused a request without running it.
+
+        Args:
+            is_other_instance: Whether another run of the target answered.
+        """
+        if is_other_instance:
+            extra = {"target": self.announced.name}
+            _LOG.warning("TargetReplaced", extra=extra)
+        self.health.note_failure(self.clock())
+        self.ramp.note_bad()
+
     def note_trouble(
         self, code: ErrorCode, has_started: bool, head_seconds: float | None
     ) -> None:
@@ -179,7 +193,7 @@
 
     def note_outcome(self, item: QueuedAttempt, code: str, seconds: float) -> None:
         """Count an exchange that has ended."""
-        self._telemetry.note_attempt(item.offered.service, code, seconds)
+        self._context.telemetry.note_attempt(item.offered.service, code, seconds)
         if self._seconds_per_exchange is None:
             self._seconds_per_exchange = seconds
         change = seconds - self._seconds_per_exchange
@@ -191,6 +205,12 @@
         self.attempts.keep_answer(attempt, recorder.answer, recorder.size)
         await self._outcomes.note_settled(attempt)
 
+    async def note_not_run(self, item: QueuedAttempt) -> None:
+        """Note that the target said that it has not run an attempt."""
+        attempt = item.offered.attempt
+        self.attempts.revoke(attempt)
+        await self._outcomes.note_settled(attempt)
+
     async def note_lost_answer(self, item: QueuedAttempt) -> None:
         """Note that a started attempt has ended without a whole answer."""
         attempt = item.offered.attempt
@@ -236,7 +256,17 @@
     def _limit(self) -> int:
         if self.health.phase(self.clock()) is HealthPhase.TRIAL:
             return _TRIALS_AT_ONCE
-        return min(self.ramp.limit, self.announced.connections)
+        # A stated cold rate says what a cold target bears; else it is found out.
+        limit = self.ramp.limit
+        if self._cold_per_second is not None:
+            limit = self.announced.slots
+        return min(limit, self.announced.connections)
+
+    @property
+    def _cold_per_second(self) -> float | None:
+        services = self._context.configuration.service_by_name
+        service = services.get(self.announced.service)
+        return service.cold_per_second if service is not None else None
 
     def _check_phase(self, item: QueuedAttempt) -> None:
         if self.announced.is_draining:
@@ -277,7 +307,7 @@
 
     async def _take_item(self) -> QueuedAttempt | None:
         """Take the next attempt that can still be served, if a slot is free."""
-        while len(self._running) < self._limit():
+        while len(self._running) < self._limit() and not await self._is_held_back():
             item = self._queue.pop()
             if item is None:
                 return None
@@ -288,9 +318,28 @@
                 code = ErrorCode.DEADLINE_EXCEEDED
                 await self._refuse(item, code, "it waited past its deadline")
                 continue
+            self.cold.note_sent(self.clock())
             return item
         return None
 
+    async def _is_held_back(self) -> bool:
+        """Tell whether a cold target has had its requests of this second."""
+        per_second = self._cold_per_second
+        if per_second is None or not len(self._queue):
+            return False
+        wait = self.cold.wait_seconds(per_second, self.clock())
+        if wait <= 0:
+            return False
+        if not self._is_wake_due:
+            self._is_wake_due = True
+            await curio.spawn(self._wake, wait, daemon=True)
+        return True
+
+    async def _wake(self, wait: float) -> None:
+        await curio.sleep(wait)
+        self._is_wake_due = False
+        await self.start_work()
+
     async def _refuse(self, item: QueuedAttempt, code: ErrorCode, detail: str) -> None:
         self.attempts.fence(item.offered.attempt)
         try:
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -7,7 +7,10 @@
 
 import curio
 
-from bramleyglade_adapters.http.client_connection import ClientConnection
+from bramleyglade_adapters.http.client_connection import (
+    AnswerBroken,
+    ClientConnection,
+)
 from bramleyglade_adapters.http.wire import end_to_end_headers
 from bramleyglade_core.model.errors import AttemptRefused, ErrorCode, FleetError
 from bramleyglade_core.model.exchange import (
@@ -17,6 +20,7 @@
     Header,
 )
 from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_core.ports.dialect import TargetTerms
 from bramleyglade_daemon.guard.exchange import AnswerRecorder
 
 if TYPE_CHECKING:
@@ -26,8 +30,6 @@
 _CONNECT_SECONDS = 2.0
 """Longest wait for a connection to a target on this VM."""
 
-_SERVER_ERROR = 500
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -87,6 +89,9 @@
         except curio.TaskTimeout:
             code = ErrorCode.DEADLINE_EXCEEDED.value
             await self._fail(item, ErrorCode.DEADLINE_EXCEEDED, "the deadline passed")
+        except AttemptRefused as error:
+            code = error.code.value
+            await self._refuse(item, error)
         except FleetError as error:
             code = error.code.value
             await self._fail(item, error.code, error.detail)
@@ -155,8 +160,8 @@
 
     def _request_headers(self, item: QueuedAttempt) -> list[Header]:
         left = max(0.0, item.deadline - self._runner.clock())
-        headers = list(item.offered.headers)
-        headers.append(Header("x-fleet-deadline-seconds", f"{left:.3f}"))
+        terms = TargetTerms(left, self._runner.announced.instance)
+        headers = [*item.offered.headers, *self._runner.dialect.target_headers(terms)]
         if not any(header.name == "host" for header in headers):
             # HTTP/1.0 callers need not send one, but the target does get 1.1.
             headers.append(Header("host", str(self._runner.announced.address)))
@@ -185,7 +190,7 @@
         while True:
             part = await connection.receive()
             if isinstance(part, AnswerStarted):
-                self._note_head(part)
+                self._judge(part, item)
                 part = AnswerStarted(part.status, end_to_end_headers(part.headers))
             if is_recorded:
                 recorder.note(part)
@@ -207,10 +212,22 @@
             if not item.stream.is_link_lost or item.offered.is_idempotent:
                 raise
 
-    def _note_head(self, started: AnswerStarted) -> None:
+    def _judge(self, started: AnswerStarted, item: QueuedAttempt) -> None:
+        """Look at the head of an answer before anything is passed on.
+
+        Raises:
+            AnswerBroken: If the answer is not one to this request.
+            AttemptRefused: If the target says that it has not run the request.
+        """
         assert self.sent_at is not None
+        judged = self._runner.dialect.judge_answer(started, item.offered.request_id)
+        if judged.fault is not None:
+            raise AnswerBroken(judged.fault, judged.detail, Verdict.MAY_HAVE_RUN)
         self.head_seconds = self._runner.clock() - self.sent_at
-        self._runner.note_head(self.head_seconds, started.status >= _SERVER_ERROR)
+        if judged.is_not_run:
+            self._runner.note_shed(judged.is_other_instance)
+            raise AttemptRefused(ErrorCode.TARGET_SHED, judged.detail)
+        self._runner.note_head(self.head_seconds, judged.is_failure)
 
     async def _release(
         self, connection: ClientConnection, upload: curio.Task | None
@@ -222,6 +239,18 @@
         else:
             await self._drop_connection()
 
+    async def _refuse(self, item: QueuedAttempt, error: AttemptRefused) -> None:
+        """End an exchange that the target has refused, or that never began."""
+        if error.code is not ErrorCode.TARGET_SHED:
+            await self._fail(item, error.code, error.detail)
+            return
+        await self._drop_connection()
+        await self._runner.note_not_run(item)
+        try:
+            await item.refuse(error.code, error.detail, Verdict.NOT_RUN)
+        except FleetError as gone:
+            _LOG.debug("FrontUnreachable", extra={"why": str(gone)})
+
     async def _fail(self, item: QueuedAttempt, code: ErrorCode, detail: str) -> None:
         has_started = self.sent_at is not None
         await self._drop_connection()
--- a/packages/daemon/src/bramleyglade_daemon/program.py
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -6,6 +6,8 @@
 import logging
 import random
 import sys
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import curio
@@ -16,6 +18,8 @@
 from bramleyglade_adapters.store.http_store import HttpStore
 from bramleyglade_adapters.telemetry import Telemetry
 from bramleyglade_core.model.errors import BadInput
+from bramleyglade_core.ports.dialect import Dialect
+from bramleyglade_core.ports.store import ObjectStore
 from bramleyglade_daemon.daemon import Daemon
 from bramleyglade_daemon.fleet.context import Context
 from bramleyglade_daemon.fleet.membership import next_incarnation
@@ -42,22 +46,43 @@
     except BadInput as error:
         print(f"bramleygladed: {error}", file=sys.stderr)
         sys.exit(_EXIT_BAD_SETTINGS)
-    set_up_logs(settings.telemetry.log_level)
-    curio.run(serve, settings)
+    set_up_logs(settings.telemetry.log_level, sys.stderr)
+    curio.run(serve, settings, Surroundings(HttpStore(settings.store_address)))
 
 
-async def serve(settings: DaemonSettings) -> None:
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a daemon meets outside, beside its settings."""
+
+    store: ObjectStore
+    dialect: Dialect | None = None
+    """Headers of callers and targets; None for the product's own."""
+    prepare: Callable[[Daemon], None] | None = None
+    """Called with the daemon before it starts."""
+    reload: Callable[[], None] | None = None
+    """Called when the settings may have changed."""
+
+
+async def serve(settings: DaemonSettings, outside: Surroundings) -> None:
     """Run a daemon until SIGTERM or SIGINT, then stop it gracefully."""
     telemetry = Telemetry(settings, random.Random())
-    store = HttpStore(settings.store_address)
     stop_signal = StopSignal()
-    incarnation = await next_incarnation(store, settings.name)
-    daemon = Daemon(Context(settings, store, telemetry, incarnation=incarnation))
+    incarnation = await next_incarnation(outside.store, settings.name)
+    context = Context(
+        settings,
+        outside.store,
+        telemetry,
+        incarnation=incarnation,
+        dialect=outside.dialect,
+    )
+    daemon = Daemon(context)
+    if outside.prepare is not None:
+        outside.prepare(daemon)
     await daemon.start()
     # What is alive now lives for ever; pauses grow with what is scanned.
     gc.freeze()
     gc.set_threshold(_YOUNG_OBJECTS, 20, 100)
-    await stop_signal.wait()
+    await stop_signal.wait(outside.reload)
     await daemon.stop()
     telemetry.shut_down()
 
--- a/packages/daemon/src/bramleyglade_daemon/stop_signal.py
+++ b/packages/daemon/src/bramleyglade_daemon/stop_signal.py
@@ -1,15 +1,22 @@
-"""Waiting for a signal that asks the process to stop."""
+"""Waiting for signals."""
 
 from __future__ import annotations
 
+import logging
 import signal
 import socket
+from typing import TYPE_CHECKING
 
 from curio import io as curio_io
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_LOG = logging.getLogger(__name__)
+
 
 class StopSignal:
-    """Catches SIGTERM and SIGINT from its making on.
+    """Catches SIGTERM, SIGINT and SIGHUP from its making on.
 
     The interpreter writes the number of each signal to a socket, so the task
     that waits needs no thread and no polling.
@@ -20,9 +27,20 @@
         self._writer.setblocking(False)
         self._reader = curio_io.Socket(reader)
         signal.set_wakeup_fd(self._writer.fileno())
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
 
-    async def wait(self) -> signal.Signals:
-        """Wait for the next signal."""
+    async def wait(self, reload: Callable[[], None] | None = None) -> None:
+        """Wait until the process is asked to stop.
+
+        Args:
+            reload: Called at each SIGHUP; None if the settings stay as they are.
+        """
+        while await self._next() is signal.SIGHUP:
+            if reload is None:
+                _LOG.info("ReloadIgnored")
+            else:
+                reload()
+
+    async def _next(self) -> signal.Signals:
         return signal.Signals((await self._reader.recv(1))[0])
--- a/packages/standins/src/bramleyglade_standins/local_fleet.py
+++ b/packages/standins/src/bramleyglade_standins/local_fleet.py
@@ -86,7 +86,11 @@
     return replace(
         settings,
         lease=LeaseSettings(
-            term_seconds=2.4, margin_seconds=0.3, refresh_seconds=0.4, sample_size=9
+            term_seconds=2.4,
+            margin_seconds=0.3,
+            refresh_seconds=0.4,
+            stale_seconds=1.6,
+            sample_size=9,
         ),
         limits=LimitSettings(shards=2, slice_term_seconds=4.0, renew_seconds=0.3),
         peers=PeerSettings(heartbeat_seconds=0.12, suspect_seconds=1.2),
