Test the platform's adapter and the new decisions; keep doubt in good targets

Cause: found by test_one_failure_is_enough_to_doubt_a_target: after twenty good answers the belief was so firm that one failure did not move it, since the update never let in that a target may have fallen ill meanwhile. The test failed first.

--- a/packages/core/src/bramleyglade_core/decisions/failure_filter.py
+++ b/packages/core/src/bramleyglade_core/decisions/failure_filter.py
@@ -23,6 +23,10 @@
     _USUALLY_ILL * _ILL_FAILURE_SHARE + (1 - _USUALLY_ILL) * _WELL_FAILURE_SHARE
 )
 
+_LEAST_ILL = 0.04
+"""Probability of illness that no number of good answers takes away: the rate at
+which targets fall ill, over the second that it takes to hear of some answers."""
+
 _FIRST_GUESS = 0.05
 """Probability that a target is ill of which nothing is known."""
 
@@ -47,7 +51,8 @@
             is_failure: Whether the target failed at it.
             now: Time of this process's clock, in seconds.
         """
-        ill = self._ill_now(now)
+        # However well a target did, it may have fallen ill since.
+        ill = max(_LEAST_ILL, self._ill_now(now))
         like_ill = _ILL_FAILURE_SHARE if is_failure else 1 - _ILL_FAILURE_SHARE
         like_well = _WELL_FAILURE_SHARE if is_failure else 1 - _WELL_FAILURE_SHARE
         self._ill = ill * like_ill / (ill * like_ill + (1 - ill) * like_well)
--- /dev/null
+++ b/packages/standins/src/bramleyglade_standins/platform_server.py
@@ -0,0 +1,109 @@
+"""A stand-in for the users' platform: its store of objects by kind and name."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import curio
+
+from bramleyglade_core.model.exchange import Header
+from bramleyglade_standins.http_server import StandInAnswer, StandInRequest
+
+_PREFIX = "/-/objects/"
+_PAGE = 3
+"""Objects on one page; small, so that tests see more than one."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformFaults:
+    """What is wrong with the store now."""
+
+    refusal: int | None = None
+    """Status with which every call is refused; None if calls are served."""
+    is_silent: bool = False
+    """True if calls are neither done nor answered."""
+    loses_writes: bool = False
+    """True if writes are done and their answers lost."""
+
+
+class StandInPlatform:
+    """Objects with one revision counter for all kinds."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.faults = PlatformFaults()
+        self.calls = 0
+        self._object_by_name_by_kind: dict[str, dict[str, dict[str, Any]]] = {}
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as the operator does, and return its revision."""
+        self.revision += 1
+        metadata = {
+            "Name": name,
+            "Revision": self.revision,
+            "CreatedRev": self.revision,
+            "Finalizers": [],
+            "Deleting": False,
+        }
+        objects = self._object_by_name_by_kind.setdefault(kind, {})
+        objects[name] = {"Metadata": metadata, "Spec": spec, "Status": None}
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object as the operator does."""
+        self.revision += 1
+        del self._object_by_name_by_kind[kind][name]
+
+    async def answer(self, request: StandInRequest) -> StandInAnswer:
+        """Answer one call."""
+        self.calls += 1
+        faults = self.faults
+        if faults.is_silent:
+            await curio.sleep(3600)
+        if faults.refusal is not None:
+            return StandInAnswer(faults.refusal)
+        path, _, query = request.head.target.partition("?")
+        kind, _, name = unquote(path.removeprefix(_PREFIX)).partition("/")
+        if request.head.method == "GET":
+            return self._read(kind, name, parse_qs(query).get("after", [""])[0])
+        answer = self._write(request, kind, name)
+        if faults.loses_writes:
+            return StandInAnswer(200, is_lost=True)
+        return answer
+
+    def _read(self, kind: str, name: str, after: str) -> StandInAnswer:
+        objects = self._object_by_name_by_kind.get(kind, {})
+        if name:
+            found = objects.get(name)
+            return _json(404, {}) if found is None else _json(200, found)
+        names = sorted(n for n in objects if n > after)
+        body = {
+            "items": [objects[n] for n in names[:_PAGE]],
+            "HasMore": len(names) > _PAGE,
+            "CurrentRev": self.revision,
+        }
+        return _json(200, body)
+
+    def _write(self, request: StandInRequest, kind: str, name: str) -> StandInAnswer:
+        plain = json.loads(request.body)
+        objects = self._object_by_name_by_kind.setdefault(kind, {})
+        if request.head.method == "POST":
+            name = plain["Metadata"]["Name"]
+            if name in objects:
+                return _json(409, objects[name])
+        else:
+            known = objects.get(name)
+            if known is None:
+                return _json(404, {})
+            if known["Metadata"]["Revision"] != plain["Metadata"].get("Revision"):
+                return _json(409, known)
+        self.put(kind, name, plain["Spec"])
+        return _json(200, objects[name])
+
+
+def _json(status: int, body: Any) -> StandInAnswer:
+    headers = (Header("content-type", "application/json"),)
+    return StandInAnswer(status, json.dumps(body).encode(), headers)
--- /dev/null
+++ b/tests/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform_adapter/conftest.py
@@ -0,0 +1,126 @@
+"""Shared fixtures: the platform's settings file, its store and a client of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+import pytest
+
+from bramleyglade_platform.platform_objects import ObjectClient
+from bramleyglade_platform.platform_settings import (
+    PlatformSettings,
+    load_platform_settings,
+)
+from bramleyglade_platform.platform_store import PlatformStore
+from bramleyglade_standins.http_server import listen
+from bramleyglade_standins.local_fleet import free_address
+from bramleyglade_standins.platform_server import StandInPlatform
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from pathlib import Path
+
+SETTINGS = """
+Node = "vm-1"
+NodeClass = "sidecar"
+Ip = "10.1.0.11"
+Zone = "zone-a"
+Region = "west"
+InternalPorts = [7780, 7795]
+Seeds = []
+BeatIntervalS = 1.5
+Bounds = ["RevokeS=5", "RevokeStrict=true", "GraceS=6", "FloorShare=0.7",
+  "RetryBudgetRatio=0.2", "BudgetMinRetries=64", "SomethingNew=later"]
+AppAddr = "10.1.0.11:8363"
+Service = "catalogue"
+[Zones]
+zone-a = "west"
+zone-b = "west"
+[Listen]
+Inbound = "10.1.0.11:8366"
+Outbound = "10.1.0.11:8365"
+Ready = "10.1.0.11:8369"
+Control = "10.1.0.11:8367"
+[Platform]
+Address = "10.200.1.7:8362"
+WritesPerS = 400
+"""
+
+CONFIGURATION = {
+    "Version": "r7",
+    "Routes": {
+        "r-issue": {
+            "Host": "Shop.Example",
+            "PathPrefix": "/issue/",
+            "RouteType": "unsafe",
+            "TimeoutS": 1.5,
+            "TargetLatencyS": 0.8,
+            "Priority": 1,
+            "Service": "catalogue",
+            "MaxAttempts": 2,
+            "AuthExempt": False,
+        },
+        "r-search": {
+            "Host": "shop.example",
+            "PathPrefix": "/search/",
+            "RouteType": "safe",
+            "TrafficSplit": [
+                {"Service": "catalogue", "Weight": 90},
+                {"Service": "deposit", "Weight": 10},
+            ],
+            "MaxAttempts": 3,
+            "AuthExempt": True,
+        },
+    },
+    "Services": {
+        "catalogue": {"HealthPath": "/health", "ColdPerS": 12.0},
+        "deposit": {"HealthPath": "/health", "ColdPerS": 12.0},
+    },
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 1000,
+        "HeaderTimeoutS": 3,
+        "IdleTimeoutS": 15,
+    },
+    "Tenants": {
+        "studio": {"ApiKeys": ["k1", "k2"], "Priority": 1, "RatePerS": 51, "Burst": 60},
+        "archive": {"ApiKeys": ["k3"], "RatePerS": 0},
+    },
+}
+"""A configuration as the operator writes it."""
+
+
+@pytest.fixture
+def settings_path(tmp_path: Path) -> Path:
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS, encoding="utf-8")
+    return path
+
+
+@pytest.fixture
+def platform_settings(settings_path: Path) -> PlatformSettings:
+    return load_platform_settings(str(settings_path))
+
+
+@pytest.fixture
+def run_platform(platform_settings: PlatformSettings) -> Callable[..., None]:
+    """Run a scenario with a stand-in store and the product's port to it."""
+
+    def run(
+        scenario: Callable[[StandInPlatform, PlatformStore], Awaitable[None]],
+    ) -> None:
+        async def main() -> None:
+            platform = StandInPlatform()
+            address = free_address()
+            server = await listen(address, platform.answer)
+            client = ObjectClient(address)
+            try:
+                await scenario(platform, PlatformStore(client, platform_settings))
+            finally:
+                await client.close()
+                await server.cancel()
+
+        curio.run(main)
+
+    return run
--- /dev/null
+++ b/tests/platform_adapter/test_platform_decoding.py
@@ -0,0 +1,207 @@
+"""Settings, configuration, reports and headers of the platform, decoded."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from bramleyglade_core.decisions.admission import hash_key
+from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.model.errors import BadInput, BadRequest, RouteRefused
+from bramleyglade_core.model.exchange import AnswerStarted, Header
+from bramleyglade_core.model.settings import OutagePolicy
+from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_core.ports.dialect import ForwardedTerms, TargetTerms
+from bramleyglade_platform.platform_configuration import decode_configuration
+from bramleyglade_platform.platform_dialect import PlatformDialect
+from bramleyglade_platform.platform_endpoints import decode_report
+from bramleyglade_platform.platform_settings import load_platform_settings
+
+from .conftest import CONFIGURATION, SETTINGS
+
+REPORT = {
+    "Service": "catalogue",
+    "Address": "10.1.0.11:8363",
+    "Zone": "zone-a",
+    "Version": "v1",
+    "Slots": 3,
+    "State": "ready",
+    "ColdLeftS": 2.5,
+    "Sequence": 4,
+    "born": 1700000000123,
+}
+
+
+@pytest.fixture
+def configuration(platform_settings):
+    ticket = decode_configuration(CONFIGURATION, platform_settings)
+    return EMPTY_CONFIGURATION.merged(ticket.states(), ticket.number)
+
+
+@pytest.fixture
+def dialect():
+    return PlatformDialect("catalogue")
+
+
+def test_settings_become_the_daemons_own(platform_settings):
+    daemon = platform_settings.daemon
+    assert str(daemon.peer_address) == "10.1.0.11:7780"
+    assert str(daemon.caller_address) == "10.1.0.11:8365"
+    assert daemon.lease.outage is OutagePolicy.STOP
+    assert daemon.lease.term_seconds < platform_settings.bounds.revoke_seconds
+    assert daemon.stop_seconds < platform_settings.bounds.grace_seconds
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "place"),
+    [
+        ('Node = "vm-1"', "", "Node is missing"),
+        ('Node = "vm-1"', "Node = 5", "Node must be a str"),
+        ('Ready = "10.1.0.11:8369"', 'Ready = "nowhere"', "Listen.Ready"),
+        ('"RevokeS=5"', '"RevokeS"', "Bounds"),
+        ('"RevokeS=5"', '"RevokeS=soon"', "RevokeS"),
+    ],
+)
+def test_bad_settings_name_the_field(tmp_path, before, after, place):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace(before, after), encoding="utf-8")
+    with pytest.raises(BadInput, match=place):
+        load_platform_settings(str(path))
+
+
+def test_keyed_work_goes_on_where_withdrawal_is_not_strict(tmp_path):
+    path = tmp_path / "settings.toml"
+    text = SETTINGS.replace("RevokeStrict=true", "RevokeStrict=false")
+    path.write_text(text, encoding="utf-8")
+    settings = load_platform_settings(str(path))
+    assert settings.daemon.lease.outage is OutagePolicy.GO_ON
+
+
+def test_routes_go_by_host_and_longest_prefix(configuration):
+    router = configuration.router
+    assert router.match("POST", "/issue/a", "shop.example").name == "r-issue"
+    assert router.match("GET", "/search/a/b", "shop.example").name == "r-search"
+    for path, host in [("/issue", "shop.example"), ("/issue/a", "other.example")]:
+        with pytest.raises(RouteRefused):
+            router.match("POST", path, host)
+
+
+def test_configuration_keeps_what_routes_and_teams_say(configuration):
+    issue = configuration.route_by_name["r-issue"]
+    assert not issue.is_idempotent("GET")
+    assert (issue.max_attempts, issue.timeout_seconds) == (2, 1.5)
+    search = configuration.route_by_name["r-search"]
+    assert search.is_idempotent("POST")
+    assert search.open_to_all
+    assert [part.weight for part in search.split] == [90, 10]
+    assert configuration.team_by_key_hash[hash_key("k2")].name == "studio"
+    assert configuration.team_by_name["archive"].is_unlimited
+    assert configuration.caller_limits.max_body_bytes == 1000
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Version": "seven"},
+        {"Routes": {"r": {}}},
+        {"Tenants": {"t": {"RatePerS": "x"}}},
+    ],
+)
+def test_odd_configuration_is_refused_whole(platform_settings, changes):
+    with pytest.raises(BadInput):
+        decode_configuration({**CONFIGURATION, **changes}, platform_settings)
+
+
+def test_report_is_decoded():
+    report = decode_report("i-1", json.dumps(REPORT).encode())
+    assert report.announced.instance == "i-1"
+    assert (report.started_at, report.sequence) == (1700000000123, 4)
+    assert report.cold_seconds == 2.5
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"State": "asleep"},
+        {"Slots": "3"},
+        {"Slots": 0},
+        {"Address": 7},
+        {"born": None},
+        {"Sequence": 1.5},
+        {"Service": ["x"]},
+    ],
+)
+def test_odd_report_names_no_target(changes):
+    with pytest.raises(BadInput):
+        decode_report("i-1", json.dumps({**REPORT, **changes}).encode())
+
+
+def test_bytes_that_are_no_report_name_no_target():
+    for body in (b"", b"\xff\xfe", b"[]", b"7"):
+        with pytest.raises(BadInput):
+            decode_report("i-1", body)
+
+
+def test_key_and_forged_headers_never_reach_a_target(dialect):
+    given = [
+        Header("host", "shop.example"),
+        Header("attempt-id", "a1"),
+        Header("x-api-key", "k1"),
+        Header("tenant", "somebody-else"),
+        Header("caller-service", "forged"),
+        Header("expected-instance", "forged"),
+        Header("deadline-remaining", "9999"),
+        Header("connection", "close"),
+    ]
+    sent = dialect.forward(given, ForwardedTerms("a1", "studio"))
+    value_by_name = {header.name: header.value for header in sent}
+    assert value_by_name == {
+        "host": "shop.example",
+        "attempt-id": "a1",
+        "caller-service": "catalogue",
+        "tenant": "studio",
+    }
+    added = dialect.target_headers(TargetTerms(1.2345, "i-1"))
+    assert {h.name: h.value for h in added} == {
+        "deadline-remaining": "1234",
+        "expected-instance": "i-1",
+    }
+
+
+def test_time_left_must_be_a_positive_number(dialect):
+    assert dialect.read_caller([Header("deadline-remaining", "2500")]).seconds == 2.5
+    for odd in ("0", "-5", "soon", "nan", "inf"):
+        with pytest.raises(BadRequest):
+            dialect.read_caller([Header("deadline-remaining", odd)])
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "field", "expected"),
+    [
+        (200, {"attempt-id": "a1", "server-seal": "s"}, "fault", False),
+        (200, {"attempt-id": "a1"}, "fault", True),
+        (200, {"attempt-id": "a2", "server-seal": "s"}, "fault", True),
+        (200, {"server-seal": "s"}, "fault", True),
+        (
+            200,
+            {"attempt-id": "a1", "server-seal": "s", "content-encoding": "gzip"},
+            "fault",
+            True,
+        ),
+        (503, {"not-executed": "1"}, "is_not_run", True),
+        (421, {"instance-id": "i-2"}, "is_other_instance", True),
+        (500, {"attempt-id": "a1", "server-seal": "s"}, "is_failure", True),
+        (503, {"attempt-id": "a1", "server-seal": "s"}, "is_not_run", False),
+    ],
+)
+def test_answers_are_judged_by_their_head(dialect, status, headers, field, expected):
+    started = AnswerStarted(status, tuple(Header(n, v) for n, v in headers.items()))
+    judged = dialect.judge_answer(started, "a1")
+    assert bool(getattr(judged, field)) is expected
+
+
+def test_own_failures_bear_no_signature(dialect):
+    names = {h.name for h in dialect.outcome_headers(Verdict.NOT_RUN, "x", "a1")}
+    assert names == {"attempt-id"}
+    assert dialect.outcome_headers(Verdict.RAN, "ok", "a1") == []
--- /dev/null
+++ b/tests/platform_adapter/test_platform_store.py
@@ -0,0 +1,161 @@
+"""The product's store over the platform's objects."""
+
+from __future__ import annotations
+
+import copy
+
+import curio
+import pytest
+
+from bramleyglade_adapters.store.shared_objects import (
+    MEMBER_PREFIX,
+    SHARED_PREFIX,
+    keeper_key,
+    member_key,
+    read_batch,
+)
+from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.decisions.shared_view import SharedView
+from bramleyglade_core.model.errors import (
+    StoreAnswerLost,
+    StoreUnavailable,
+    VersionConflict,
+)
+from bramleyglade_standins.platform_server import PlatformFaults
+
+from .conftest import CONFIGURATION
+
+
+def _version(number, **changes):
+    return {**copy.deepcopy(CONFIGURATION), "Version": f"r{number}", **changes}
+
+
+async def _look(view, store):
+    listing = await store.list_changed(SHARED_PREFIX, view.revision)
+    view.apply(read_batch(listing, view.revision))
+    return view.configuration
+
+
+def test_objects_are_written_once_and_replaced_under_their_revision(run_platform):
+    async def scenario(platform, store):
+        key = member_key("vm-1")
+        revision = await store.create(key, b'{"a": 1}')
+        with pytest.raises(VersionConflict):
+            await store.create(key, b'{"a": 2}')
+        newer = await store.update(key, b'{"a": 3}', revision)
+        with pytest.raises(VersionConflict):
+            await store.update(key, b'{"a": 4}', revision)
+        stored = await store.read(key)
+        assert (stored.value, stored.revision) == (b'{"a": 3}', newer)
+        assert await store.read(member_key("nobody")) is None
+
+    run_platform(scenario)
+
+
+def test_list_of_several_pages_is_read_whole(run_platform):
+    async def scenario(platform, store):
+        for number in range(8):
+            await store.create(member_key(f"vm-{number}"), b"{}")
+        listing = await store.list_changed(MEMBER_PREFIX, 0)
+        assert [o.key for o in listing.objects] == [
+            member_key(f"vm-{number}") for number in range(8)
+        ]
+
+    run_platform(scenario)
+
+
+def test_new_version_replaces_all_that_older_ones_set(run_platform):
+    """A daemon that missed the version between keeps none of its routes."""
+
+    async def scenario(platform, store):
+        view = SharedView()
+        platform.put("config", "main", _version(7))
+        assert "r-issue" in (await _look(view, store)).route_by_name
+        routes = {"r-search": CONFIGURATION["Routes"]["r-search"]}
+        platform.put("config", "main", _version(9, Routes=routes))
+        configuration = await _look(view, store)
+        assert list(configuration.route_by_name) == ["r-search"]
+        assert configuration.whole_ticket == 9
+        late = read_batch(await store.list_changed(SHARED_PREFIX, 0), 0)
+        assert EMPTY_CONFIGURATION.merged(late.states, 9).route_by_name.keys() == {
+            "r-search"
+        }
+
+    run_platform(scenario)
+
+
+def test_zone_goes_out_and_comes_back(run_platform):
+    async def scenario(platform, store):
+        view = SharedView()
+        platform.put("config", "main", _version(7))
+        assert (await _look(view, store)).is_zone_in_use("zone-a")
+        platform.put("evacuations", "zone-a", {})
+        await curio.sleep(1.05)  # The list is read once a second.
+        configuration = await _look(view, store)
+        assert not configuration.is_zone_in_use("zone-a")
+        assert configuration.is_zone_in_use("zone-b")
+        platform.remove("evacuations", "zone-a")
+        await curio.sleep(1.05)
+        assert (await _look(view, store)).is_zone_in_use("zone-a")
+
+    run_platform(scenario)
+
+
+def test_keepers_written_between_two_reads_are_not_missed(run_platform):
+    """A keeper's object lies below the revision that other objects have reached."""
+
+    async def scenario(platform, store):
+        view = SharedView()
+        platform.put("config", "main", _version(7))
+        await _look(view, store)
+        value = (
+            b'{"shard":1,"keeper":{"name":"vm-1","incarnation":5},'
+            b'"epoch":1,"revision":0}'
+        )
+        await store.create(keeper_key(1), value)
+        await store.create(member_key("vm-1"), b"{}")
+        await _look(view, store)
+        assert view.assignment_by_shard[1].keeper.name == "vm-1"
+
+    run_platform(scenario)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        PlatformFaults(refusal=503),
+        PlatformFaults(refusal=429),
+        PlatformFaults(is_silent=True),
+    ],
+)
+def test_refused_calls_say_that_nothing_is_known(run_platform, faults):
+    async def scenario(platform, store):
+        platform.faults = faults
+        with pytest.raises(StoreUnavailable):
+            await store.read(member_key("vm-1"))
+
+    run_platform(scenario)
+
+
+def test_lost_answer_of_a_write_is_told_from_a_refusal(run_platform):
+    async def scenario(platform, store):
+        platform.faults = PlatformFaults(loses_writes=True)
+        with pytest.raises(StoreAnswerLost):
+            await store.create(member_key("vm-1"), b"{}")
+        platform.faults = PlatformFaults()
+        assert await store.read(member_key("vm-1")) is not None
+
+    run_platform(scenario)
+
+
+def test_unreadable_configuration_leaves_the_one_in_force(run_platform, caplog):
+    async def scenario(platform, store):
+        view = SharedView()
+        platform.put("config", "main", _version(7))
+        await _look(view, store)
+        platform.put("config", "main", _version(8, Routes={"r-x": {"Host": 1}}))
+        configuration = await _look(view, store)
+        assert configuration.whole_ticket == 7
+        assert "ConfigurationUnreadable" in caplog.text
+
+    run_platform(scenario)
--- /dev/null
+++ b/tests/test_target_decisions.py
@@ -0,0 +1,129 @@
+"""Decisions about single targets: doubt, cold starts, the order of reports."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleyglade_core.decisions.cold_gate import ColdGate
+from bramleyglade_core.decisions.failure_filter import FailureFilter, faded_risk
+from bramleyglade_core.decisions.report_order import ReportOrder
+from bramleyglade_core.decisions.retry_budget import RetryBudget
+from bramleyglade_core.decisions.splitter import Splitter
+from bramleyglade_core.model.entities import Route, SplitPart
+from bramleyglade_core.model.settings import FrontSettings
+
+
+def test_one_failure_is_enough_to_doubt_a_target():
+    failures = FailureFilter()
+    for second in range(20):
+        failures.note(False, float(second))
+    calm = failures.risk(20.0)
+    failures.note(True, 20.0)
+    assert failures.risk(20.0) > 5 * calm
+
+
+def test_doubt_fades_and_trust_does_not():
+    failures = FailureFilter()
+    failures.note(True, 0.0)
+    failures.note(True, 0.0)
+    assert failures.risk(0.0) > failures.risk(3.0) > failures.risk(10.0)
+    well = FailureFilter()
+    well.note(False, 0.0)
+    assert well.risk(0.0) == well.risk(100.0)
+
+
+@given(
+    risk=st.floats(0.0, 1.0),
+    first=st.floats(0.0, 60.0),
+    second=st.floats(0.0, 60.0),
+)
+def test_told_risk_only_falls(risk, first, second):
+    early, late = sorted((first, second))
+    assert faded_risk(risk, late) <= faded_risk(risk, early) <= risk
+
+
+def test_target_that_fails_half_its_requests_stays_in_doubt():
+    """Successes between failures once restored trust at once."""
+    failures = FailureFilter()
+    now = 0.0
+    for number in range(20):
+        now += 0.05
+        failures.note(number % 2 == 0, now)
+    assert failures.risk(now) > 0.3
+
+
+@given(
+    waits=st.lists(st.floats(0.0, 0.4), min_size=1, max_size=80),
+    per_second=st.integers(1, 20),
+)
+def test_cold_target_gets_its_rate_in_any_second(waits, per_second):
+    gate = ColdGate()
+    gate.note_cold(1000.0)
+    sent = []
+    now = 0.0
+    for wait in waits:
+        now += wait
+        if gate.wait_seconds(per_second, now) <= 0:
+            gate.note_sent(now)
+            sent.append(now)
+    for start in sent:
+        assert sum(start <= at < start + 1.0 for at in sent) <= per_second
+
+
+def test_warm_target_is_not_held_back():
+    gate = ColdGate()
+    gate.note_cold(5.0)
+    for _ in range(3):
+        gate.note_sent(4.9)
+    assert gate.wait_seconds(1, 4.95) > 0
+    assert gate.wait_seconds(1, 5.0) == 0
+
+
+def test_late_report_of_an_older_run_changes_nothing():
+    order = ReportOrder()
+    assert order.accept(100, 1)
+    assert order.accept(200, 0)  # A new run counts from the start again.
+    assert not order.accept(100, 9)
+    assert not order.accept(200, 0)
+    assert not order.depart(100)
+    assert order.depart(200)
+    assert not order.accept(200, 7)
+    assert order.accept(300, 0)
+
+
+def test_departure_without_a_start_ends_the_run_that_is_known():
+    order = ReportOrder()
+    assert order.accept(100, 1)
+    assert order.depart(None)
+    assert not order.accept(100, 2)
+
+
+@given(
+    weights=st.lists(st.integers(0, 100), min_size=2, max_size=4).filter(any),
+    seed=st.integers(0, 99),
+    count=st.integers(1, 300),
+)
+def test_split_is_within_two_requests_of_its_weights(weights, seed, count):
+    parts = tuple(SplitPart(f"s{i}", w) for i, w in enumerate(weights))
+    route = Route("r", "s0", "/", split=parts)
+    splitter = Splitter(random.Random(seed))
+    chosen = [splitter.choose(route) for _ in range(count)]
+    for part in parts:
+        share = part.weight / sum(weights)
+        assert abs(chosen.count(part.service) - share * count) <= len(parts)
+        assert part.weight or part.service not in chosen
+
+
+def test_common_floor_of_retries_is_shared_by_all_daemons():
+    budgets = [
+        RetryBudget(FrontSettings(retry_share=0.1, retry_floor=30)) for _ in range(10)
+    ]
+    for budget in budgets:
+        budget.share_floor(len(budgets))
+        for _ in range(1000):
+            budget.note_first_attempt()
+    spent = sum(sum(budget.try_spend() for _ in range(100)) for budget in budgets)
+    assert spent <= 30
