--- a/packages/adapters/src/bramleyglade_adapters/link/codec.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/codec.py
@@ -177,6 +177,8 @@
     exchange.AnswerEnded,
     exchange.AttemptFailed,
     peer_messages.TargetViewTold,
+    shares.HoldingsAsked,
+    shares.HoldingsTold,
 )
 
 
--- a/packages/adapters/src/bramleyglade_adapters/link/link.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -131,7 +131,7 @@
         try:
             await self._read(self._buffer)
         except (OSError, BadInput) as error:
-            _LOG.info("LinkBroken", extra={"peer": self._peer_name, "why": str(error)})
+            _LOG.info("LinkBroken", extra={"peer": self.peer_name, "why": str(error)})
         finally:
             self._is_closed = True
             await writer.cancel()
@@ -228,7 +228,8 @@
         return answer
 
     @property
-    def _peer_name(self) -> str:
+    def peer_name(self) -> str:
+        """Name of the peer's daemon; `unknown` before its first message."""
         return self.peer.daemon.name if self.peer else "unknown"
 
     async def _write(self) -> None:
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -36,6 +36,8 @@
     attemptFailed @29 :AttemptFailed;
     shareRecalled @30 :ShareRecalled;
     targetViewTold @31 :TargetViewTold;
+    holdingsAsked @32 :HoldingsAsked;
+    holdingsTold @33 :HoldingsTold;
   }
 }
 
@@ -137,6 +139,9 @@
   sequence @4 :UInt64;
 }
 
+struct HoldingsAsked { shard @0 :UInt32; }
+struct HoldingsTold { shard @0 :UInt32; lines @1 :List(HeldShare); }
+
 struct BookHandedOver {
   shard @0 :UInt32;
   epoch @1 :UInt64;
@@ -178,6 +183,7 @@
   priority @12 :UInt32;
   mustStartNow @13 :Bool;
   mostRisk @14 :Float64;
+  objectiveSeconds @15 :Float64;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/core/src/bramleyglade_core/decisions/fair_queue.py
+++ b/packages/core/src/bramleyglade_core/decisions/fair_queue.py
@@ -1,4 +1,4 @@
-"""A bounded queue that is fair between teams (deficit round robin)."""
+"""A bounded queue by rank, fair between teams of one rank (deficit round robin)."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class FairQueue(Generic[Item]):
-    """Work that waits for one target; each team in turn gets one item.
+    """Work that waits for one target: by rank, then each team in turn.
 
     All items cost the same, so round robin between the teams that wait is
     deficit round robin (Shreedhar and Varghese, 1995) with a quantum of one.
@@ -18,64 +18,89 @@
     def __init__(self, bound: int) -> None:
         self._bound = bound
         self._size = 0
-        self._items_by_team: OrderedDict[str, deque[Item]] = OrderedDict()
+        self._teams_by_rank: dict[int, OrderedDict[str, deque[Item]]] = {}
 
     def __len__(self) -> int:
         return self._size
 
-    def push(self, team: str, item: Item) -> Item | None:
+    def ahead_of(self, rank: int) -> int:
+        """Return how many items would be taken before a new one of a rank."""
+        return sum(
+            len(items)
+            for known, teams in self._teams_by_rank.items()
+            if known <= rank
+            for items in teams.values()
+        )
+
+    def push(self, team: str, item: Item, rank: int = 0) -> Item | None:
         """Add an item.
 
-        A full queue drops the newest item of the team that has most waiting,
-        so that one team can't keep the others out.
+        A full queue drops an item of the least urgent rank, the newest of the
+        team that has most waiting there, so that one team can't keep the others
+        out.
 
         Args:
             team: Team that the item belongs to.
             item: The item.
+            rank: Rank of the item; 0 is taken first.
 
         Returns:
             The item that had to give way, possibly the new one; None if all fit.
         """
-        self._items_by_team.setdefault(team, deque()).append(item)
+        teams = self._teams_by_rank.setdefault(rank, OrderedDict())
+        teams.setdefault(team, deque()).append(item)
         self._size += 1
         if self._size <= self._bound:
             return None
-        longest = max(self._items_by_team, key=lambda t: len(self._items_by_team[t]))
-        return self._take(longest, is_newest=True)
+        last = max(self._teams_by_rank)
+        teams = self._teams_by_rank[last]
+        longest = max(teams, key=lambda t: len(teams[t]))
+        return self._take(last, longest, is_newest=True)
 
     def pop(self) -> Item | None:
         """Take the next item, or None if nothing waits."""
-        if not self._items_by_team:
+        if not self._teams_by_rank:
             return None
-        team = next(iter(self._items_by_team))
-        item = self._take(team, is_newest=False)
-        if team in self._items_by_team:
-            self._items_by_team.move_to_end(team)
+        rank = min(self._teams_by_rank)
+        teams = self._teams_by_rank[rank]
+        team = next(iter(teams))
+        item = self._take(rank, team, is_newest=False)
+        if team in teams:
+            teams.move_to_end(team)
         return item
 
     def remove(self, team: str, item: Item) -> bool:
         """Take out an item that no longer needs to run; False if it is not here."""
-        items = self._items_by_team.get(team)
-        if items is None or item not in items:
-            return False
-        items.remove(item)
-        self._shrink(team)
-        return True
+        for rank, teams in self._teams_by_rank.items():
+            items = teams.get(team)
+            if items is not None and item in items:
+                items.remove(item)
+                self._shrink(rank, team)
+                return True
+        return False
 
     def clear(self) -> list[Item]:
         """Take out everything."""
-        items = [item for queue in self._items_by_team.values() for item in queue]
-        self._items_by_team.clear()
+        items = [
+            item
+            for rank in sorted(self._teams_by_rank)
+            for queue in self._teams_by_rank[rank].values()
+            for item in queue
+        ]
+        self._teams_by_rank.clear()
         self._size = 0
         return items
 
-    def _take(self, team: str, is_newest: bool) -> Item:
-        items = self._items_by_team[team]
+    def _take(self, rank: int, team: str, is_newest: bool) -> Item:
+        items = self._teams_by_rank[rank][team]
         item = items.pop() if is_newest else items.popleft()
-        self._shrink(team)
+        self._shrink(rank, team)
         return item
 
-    def _shrink(self, team: str) -> None:
+    def _shrink(self, rank: int, team: str) -> None:
         self._size -= 1
-        if not self._items_by_team[team]:
-            del self._items_by_team[team]
+        teams = self._teams_by_rank[rank]
+        if not teams[team]:
+            del teams[team]
+        if not teams:
+            del self._teams_by_rank[rank]
--- a/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
@@ -10,11 +10,13 @@
 from bramleyglade_core.model.shares import BookHandedOver, ShareGranted
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from bramleyglade_core.model.announcements import KeeperAssignment
     from bramleyglade_core.model.entities import Team
     from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.model.settings import DaemonSettings
-    from bramleyglade_core.model.shares import ShareAsked
+    from bramleyglade_core.model.shares import HeldShare, ShareAsked
 
 
 class KeeperPhase(Enum):
@@ -77,10 +79,7 @@
         if asked_at < self._next_phase_from:
             return
         if self.phase is KeeperPhase.WAITING:
-            self.phase = KeeperPhase.COLLECTING
-            limits = self._settings.limits
-            margin = self._settings.lease.margin_seconds
-            self._next_phase_from = asked_at + limits.slice_term_seconds + margin
+            self._start_collecting(asked_at)
             return
         self._start_granting(asked_at)
 
@@ -94,6 +93,24 @@
             self._book(line.team, 0.0, now).register(line, now)
         self._start_granting(now)
 
+    def note_predecessor_ended(self, now: float) -> None:
+        """Skip the wait for a predecessor whose process is known to have ended."""
+        if self.phase is KeeperPhase.WAITING:
+            self._start_collecting(now)
+
+    def take_statements(self, lines: Iterable[HeldShare], now: float) -> None:
+        """Grant at once, since every daemon has stated all that it holds.
+
+        Args:
+            lines: What they hold.
+            now: Time of this process's clock, in seconds.
+        """
+        if self.phase is not KeeperPhase.COLLECTING:
+            return
+        for line in lines:
+            self._book(line.team, 0.0, now).register(line, now)
+        self._start_granting(now)
+
     def hand_over(self, epoch: int) -> BookHandedOver:
         """Return the books for a successor; the caller grants no more."""
         lines = [
@@ -139,6 +156,12 @@
             self._book_by_team[team] = book
         return book
 
+    def _start_collecting(self, now: float) -> None:
+        self.phase = KeeperPhase.COLLECTING
+        limits = self._settings.limits
+        margin = self._settings.lease.margin_seconds
+        self._next_phase_from = now + limits.slice_term_seconds + margin
+
     def _start_granting(self, now: float) -> None:
         self.phase = KeeperPhase.GRANTING
         self._granting_since = now
--- a/packages/core/src/bramleyglade_core/decisions/share_holding.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_holding.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from bramleyglade_core.model.shares import SHARE_UNITS, ShareAsked
+from bramleyglade_core.model.shares import SHARE_UNITS, HeldShare, ShareAsked
 
 if TYPE_CHECKING:
     from bramleyglade_core.model.entities import Team
@@ -179,6 +179,21 @@
         self._tokens_end = asked_at + TOKEN_TERM_SECONDS
         return self._give_back(granted.target_units)
 
+    def state(self, team: Team, now: float) -> HeldShare:
+        """State the holding to a new keeper; earlier asks are given up.
+
+        Args:
+            team: The team as configured now.
+            now: Time of this process's clock, in seconds.
+
+        Returns:
+            The line for the keeper's book.
+        """
+        self._refill(team, now)
+        self.give_up_ask(now)
+        tokens = self._tokens if now < self._tokens_end else 0
+        return HeldShare(team.name, self._holder, self.units, tokens, self._sequence)
+
     def give_up_ask(self, now: float) -> None:
         """Stop waiting; a late answer will not be credited."""
         self.dry_until = now + _UNHEARD_PAUSE_SECONDS
--- a/packages/core/src/bramleyglade_core/model/exchange.py
+++ b/packages/core/src/bramleyglade_core/model/exchange.py
@@ -46,6 +46,8 @@
     """True if the attempt is to be refused rather than queued."""
     most_risk: float = 1.0
     """Probability of failure above which the guard is to refuse, 0 to 1."""
+    objective_seconds: float | None = None
+    """Time left within the latency objective, in seconds; None without one."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bramleyglade_core/model/shares.py
+++ b/packages/core/src/bramleyglade_core/model/shares.py
@@ -63,6 +63,13 @@
     team: str
 
 
+@dataclass(frozen=True, slots=True)
+class HoldingsAsked:
+    """A new keeper asks a daemon for all that it holds of a shard's teams."""
+
+    shard: int
+
+
 @dataclass(frozen=True, slots=True)
 class HeldShare:
     """One line of a keeper's book."""
@@ -82,3 +89,14 @@
     epoch: int
     """Epoch of the successor's assignment."""
     lines: tuple[HeldShare, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HoldingsTold:
+    """All that a daemon holds of a shard's teams; it holds nothing else.
+
+    Answers to earlier asks are not credited after it.
+    """
+
+    shard: int
+    lines: tuple[HeldShare, ...] = ()
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -71,6 +71,7 @@
         self.guard.on_changed = self.membership.publish
         self.shared.on_extended = self.limiter.extend
         self.keepers.on_recalled = self.limiter.recall
+        self.keepers.on_stated = self.limiter.state_shard
         announcer = AnnounceServer(context, self.guard)
         self.entrances: list[Entrance] = [
             Entrance(
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -11,11 +11,13 @@
 from bramleyglade_adapters.structure import to_json
 from bramleyglade_core.decisions.rendezvous import rank, shard_of
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
-from bramleyglade_core.model.announcements import KeeperAssignment
+from bramleyglade_core.model.announcements import DaemonPhase, KeeperAssignment
 from bramleyglade_core.model.ejections import EjectionAsked, EjectionTold
 from bramleyglade_core.model.errors import FleetError, StoreError
 from bramleyglade_core.model.shares import (
     BookHandedOver,
+    HoldingsAsked,
+    HoldingsTold,
     ShareAsked,
     ShareGranted,
     ShareRecalled,
@@ -32,7 +34,12 @@
     from bramleyglade_daemon.fleet.shared_state import SharedState
 
 _PERIOD_SECONDS = 0.6
-_ANSWER_SECONDS = 1.0
+_ANSWER_SECONDS = 0.5
+"""Longest wait for a keeper's answer; peers answer in milliseconds."""
+
+_RELAY_SECONDS = 0.3
+"""The same where a neighbour asks on."""
+
 
 _SETTLE_BEATS = 2
 """Heartbeats after the first look at the members in which nothing is claimed."""
@@ -61,6 +68,11 @@
         self._claimed_at_by_shard: dict[int, float] = {}
         self._orphan_since_by_shard: dict[int, float] = {}
         self._is_stopped = False
+        self._predecessor_by_shard: dict[int, DaemonId] = {}
+        """Keepers whose place this daemon has claimed."""
+        self._collecting: set[int] = set()
+        self.on_stated: Callable[[int], HoldingsTold] | None = None
+        """Called with a shard of which this daemon is to state what it holds."""
         self.on_recalled: Callable[[str], None] | None = None
         """Called with a team whose share this daemon is to state anew."""
 
@@ -70,6 +82,7 @@
             self.adopt_assignments()
             if self._context.lease.is_valid and not self._context.is_leaving:
                 await self._claim_orphans()
+                await self._collect_statements()
                 await self._confirm()
             jitter = self._context.random.uniform(0.8, 1.2)
             await curio.sleep(_PERIOD_SECONDS * jitter)
@@ -106,8 +119,47 @@
             return expect(answer, ShareGranted)
         except FleetError as error:
             _LOG.info("KeeperUnreachable", extra={"keeper": name, "why": str(error)})
+            return await self._ask_share_by_relay(asked, name)
+
+    async def _ask_share_by_relay(
+        self, asked: ShareAsked, keeper: str
+    ) -> ShareGranted | None:
+        """Ask by way of a neighbour, which may reach the keeper still."""
+        links = [
+            link
+            for link in self._peers.open_links()
+            if self._peers.is_neighbour(link) and link.peer_name != keeper
+        ]
+        if not links:
+            return None
+        link = self._context.random.choice(links)
+        try:
+            return expect(await link.call(asked, _RELAY_SECONDS), ShareGranted)
+        except FleetError as error:
+            extra = {"keeper": keeper, "relay": link.peer_name, "why": str(error)}
+            _LOG.info("RelayFailed", extra=extra)
             return None
 
+    async def relay_share(self, asked: ShareAsked) -> ShareGranted:
+        """Pass on an ask of a daemon that does not reach the keeper."""
+        name = self._keeper_name(f"team/{asked.team}")
+        link = self._peers.link_to(name) if name is not None else None
+        if link is not None:
+            try:
+                return expect(await link.call(asked, _RELAY_SECONDS), ShareGranted)
+            except FleetError as error:
+                extra = {"keeper": name, "why": str(error)}
+                _LOG.info("KeeperUnreachable", extra=extra)
+        return ShareGranted(asked.team, asked.sequence, False, retry_after=0.5)
+
+    def is_keeper_of(self, team: str) -> bool:
+        """Tell whether this daemon keeps a team's shares."""
+        return self._keeper_name(f"team/{team}") == self._context.settings.name
+
+    def shard_of_team(self, team: str) -> int:
+        """Return the shard of a team."""
+        return shard_of(f"team/{team}", self._context.settings.limits.shards)
+
     async def answer_share(self, asked: ShareAsked) -> ShareGranted:
         """Answer a holder as the keeper of its team."""
         refusal = ShareGranted(asked.team, asked.sequence, False, retry_after=0.5)
@@ -197,9 +249,14 @@
             return
         if self._context.lease.is_extended:
             return
+        has_claimed = False
         for shard in self._orphans(now)[:_MOST_CLAIMS]:
             self._claimed_at_by_shard[shard] = now
             await self._claim(shard, self._context.view.assignment_by_shard.get(shard))
+            has_claimed = True
+        if has_claimed:
+            await self._shared.read_now()
+            self.adopt_assignments()
 
     def _orphans(self, now: float) -> list[int]:
         """Return the shards without a keeper that fall to this daemon."""
@@ -216,7 +273,63 @@
                 orphans.append(shard)
         return orphans
 
+    async def _collect_statements(self) -> None:
+        """Spare a new keeper the waits where every daemon can speak for itself."""
+        for shard, keeper in list(self._keeper_by_shard.items()):
+            if keeper.phase is KeeperPhase.GRANTING or shard in self._collecting:
+                continue
+            predecessor = self._predecessor_by_shard.get(shard)
+            if predecessor is not None and self._has_ended(predecessor):
+                keeper.note_predecessor_ended(self._context.clock())
+            if keeper.phase is KeeperPhase.COLLECTING:
+                self._collecting.add(shard)
+                await curio.spawn(self._ask_holdings, shard, keeper, daemon=True)
+
+    def _has_ended(self, daemon: DaemonId) -> bool:
+        """Tell whether a run of a daemon is over, as a later one has begun."""
+        record = self._context.directory.record_by_name.get(daemon.name)
+        return (
+            record is not None and record.daemon.incarnation > daemon.incarnation
+        ) or (
+            record is not None
+            and record.daemon == daemon
+            and record.phase is DaemonPhase.GONE
+        )
+
+    async def _ask_holdings(self, shard: int, keeper: ShardKeeper) -> None:
+        """Ask all members what they hold; one that is silent costs the full wait."""
+        before = keeper.phase
+        try:
+            members = self._context.directory.member_names()
+            tasks = [
+                await curio.spawn(self._ask_holding, name, shard) for name in members
+            ]
+            told = [await task.join() for task in tasks]
+            if any(answer is None for answer in told):
+                return
+            if set(members) != set(self._context.directory.member_names()):
+                return  # Somebody joined meanwhile; ask everybody again.
+            if self._keeper_by_shard.get(shard) is keeper:
+                lines = [line for answer in told if answer for line in answer.lines]
+                keeper.take_statements(lines, self._context.clock())
+                self._log_phase(keeper, before)
+        finally:
+            self._collecting.discard(shard)
+
+    async def _ask_holding(self, name: str, shard: int) -> HoldingsTold | None:
+        if name == self._context.settings.name:
+            return self.on_stated(shard) if self.on_stated is not None else None
+        try:
+            answer = await self._peers.call(name, HoldingsAsked(shard), _ANSWER_SECONDS)
+            return expect(answer, HoldingsTold)
+        except FleetError as error:
+            extra = {"member": name, "shard": shard, "why": str(error)}
+            _LOG.info("HoldingsUnknown", extra=extra)
+            return None
+
     async def _claim(self, shard: int, known: KeeperAssignment | None) -> None:
+        if known is not None:
+            self._predecessor_by_shard[shard] = known.keeper
         epoch = known.epoch + 1 if known is not None else 1
         wanted = KeeperAssignment(shard, self._context.daemon, epoch)
         await self._write(wanted, known)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -25,7 +25,12 @@
     SuspicionTold,
     TargetViewTold,
 )
-from bramleyglade_core.model.shares import BookHandedOver, ShareAsked, ShareRecalled
+from bramleyglade_core.model.shares import (
+    BookHandedOver,
+    HoldingsAsked,
+    ShareAsked,
+    ShareRecalled,
+)
 from bramleyglade_daemon.streams import GuardStream, LinkPoster, ViewPoster
 
 if TYPE_CHECKING:
@@ -131,7 +136,15 @@
 
     @_handle.register
     async def _(self, message: ShareAsked, link: Link, stream: int) -> None:
-        await self._answer(link, stream, await self._keepers.answer_share(message))
+        if self._keepers.is_keeper_of(message.team):
+            await self._answer(link, stream, await self._keepers.answer_share(message))
+        else:
+            await curio.spawn(self._relay_share, message, link, stream, daemon=True)
+
+    @_handle.register
+    async def _(self, message: HoldingsAsked, link: Link, stream: int) -> None:
+        if self._keepers.on_stated is not None:
+            await self._answer(link, stream, self._keepers.on_stated(message.shard))
 
     @_handle.register
     async def _(self, message: ShareRecalled, link: Link, stream: int) -> None:
@@ -185,6 +198,9 @@
         link.accept_stream(stream, guard_stream)
         return guard_stream
 
+    async def _relay_share(self, asked: ShareAsked, link: Link, stream: int) -> None:
+        await self._answer(link, stream, await self._keepers.relay_share(asked))
+
     async def _look(self, asked: LookAsked, link: Link, stream: int) -> None:
         await self._answer(link, stream, await self._membership.look(asked))
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -21,7 +21,7 @@
     from bramleyglade_core.model.identifiers import Address
     from bramleyglade_daemon.fleet.context import Context
 
-_DIAL_SECONDS = 1.0
+_DIAL_SECONDS = 0.5
 _FIRST_PAUSE_SECONDS = 0.1
 _LONGEST_PAUSE_SECONDS = 2.0
 _FAIL_FAST_SECONDS = 2.0
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -138,6 +138,10 @@
         sight = self._context.contact.sight()
         return SightTold(sight.is_away, sight.reached_for_seconds)
 
+    async def read_now(self) -> None:
+        """Read the store at once, as something there is known to have changed."""
+        await self._read_store()
+
     async def is_reached_by_majority(self, for_seconds: float) -> bool:
         """Tell whether most of a sample have reached the store all along.
 
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -218,6 +218,7 @@
             deadline=arrived_at + timeout_of(terms, route, service),
             headers=self._context.dialect.forward(head.headers, forwarded),
             priority=_priority(route, team),
+            arrived_at=arrived_at,
         )
 
     async def _run(self, request: AdmittedRequest, hop: Hop) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -32,21 +32,12 @@
     from bramleyglade_daemon.front.guard_ports import GuardPorts
     from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
 
-_MISROUTED_CODES = frozenset(
-    {
-        ErrorCode.TARGET_EJECTED,
-        ErrorCode.TARGET_DRAINING,
-        ErrorCode.TARGET_UNKNOWN,
-        ErrorCode.ZONE_OUT,
-        ErrorCode.DAEMON_STOPPING,
-        ErrorCode.TARGET_BUSY,
-        ErrorCode.TARGET_SUSPECT,
-    }
-)
-"""Refusals that only show that this front's view was a moment old."""
+_ARRIVED_CODES = frozenset({ErrorCode.TARGET_SHED})
+"""Refusals of a target itself. Others of what has not run came from a guard, or from
+nobody: the target has seen nothing, and another attempt takes from no budget."""
 
 _MOST_MISROUTED = 8
-"""Refusals of that kind that one request puts up with."""
+"""Refusals short of a target that one request puts up with."""
 
 _MOST_PICKY = 4
 """Refusals after which a request takes a target as it is, queue and all."""
@@ -274,7 +265,7 @@
             return False
         if self._context.clock() >= self._request.deadline:
             return False
-        if failed.verdict is Verdict.NOT_RUN and failed.code in _MISROUTED_CODES:
+        if failed.verdict is Verdict.NOT_RUN and failed.code not in _ARRIVED_CODES:
             self._misrouted += 1
             return self._misrouted <= _MOST_MISROUTED
         if self._count - self._misrouted >= self._most_attempts:
@@ -341,8 +332,17 @@
             priority=request.priority,
             must_start_now=is_picky and pick.is_free,
             most_risk=pick.most_risk if is_picky else 1.0,
+            objective_seconds=self._objective_left(),
         )
 
+    def _objective_left(self) -> float | None:
+        """Return the time left within the latency objective; None without one."""
+        request = self._request
+        if request.route.objective_seconds is None:
+            return None
+        end = request.arrived_at + request.route.objective_seconds
+        return max(0.0, end - self._context.clock())
+
     async def _ask_outcome(self) -> AttemptStream:
         assert self._port is not None
         assert self._offered is not None
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -48,6 +48,8 @@
     """Headers for the target, without the key."""
     priority: int = 0
     """Rank of the request; 0 is the most urgent."""
+    arrived_at: float = 0.0
+    """When its head had been read, by this process's clock, in seconds."""
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -8,6 +8,7 @@
 
 from bramleyglade_core.decisions.share_holding import ShareHolding
 from bramleyglade_core.model.errors import ErrorCode, KeyRefused, RateExceeded
+from bramleyglade_core.model.shares import HoldingsTold
 
 if TYPE_CHECKING:
     from bramleyglade_core.model.entities import Team
@@ -92,6 +93,16 @@
         if share is not None:
             share.holding.recall(self._context.clock())
 
+    def state_shard(self, shard: int) -> HoldingsTold:
+        """State all that this daemon holds of a shard's teams."""
+        now = self._context.clock()
+        lines = []
+        for name, share in self._share_by_team.items():
+            team = self._context.configuration.team_by_name.get(name)
+            if team is not None and self._keepers.shard_of_team(name) == shard:
+                lines.append(share.holding.state(team, now))
+        return HoldingsTold(shard, tuple(lines))
+
     async def release_all(self) -> None:
         """Give all shares back, before this daemon leaves."""
         for name, share in list(self._share_by_team.items()):
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -106,7 +106,8 @@
         self._check_phase(item)
         self._check_terms(item)
         self._check_wait(item)
-        victim = self._queue.push(item.offered.team, item)
+        offered = item.offered
+        victim = self._queue.push(offered.team, item, offered.priority)
         if victim is item:
             raise AttemptRefused(
                 ErrorCode.QUEUE_FULL, "the target's queue is full", retry_after=1.0
@@ -304,15 +305,23 @@
         return self.cold.wait_seconds(per_second, self.clock()) <= 0
 
     def _check_wait(self, item: QueuedAttempt) -> None:
-        """Refuse what would wait past its deadline, by Little's law."""
+        """Refuse what would end too late, by Little's law.
+
+        What can't meet its objective any more is worth little, and would make
+        those behind it late too.
+        """
         seconds = self._seconds_per_exchange
         if seconds is None or not len(self._queue):
             return
-        wait = seconds * (1 + len(self._queue) / self._limit())
-        if self.clock() + wait > item.deadline:
+        ahead = self._queue.ahead_of(item.offered.priority)
+        wait = seconds * (1 + ahead) / self._limit()
+        left = item.deadline - self.clock()
+        if item.offered.objective_seconds is not None:
+            left = min(left, item.offered.objective_seconds)
+        if wait + seconds > left:
             raise AttemptRefused(
                 ErrorCode.DEADLINE_TOO_SHORT,
-                "the queue is too long for the deadline",
+                f"{ahead} wait before it, which takes {wait:.2f} s",
                 retry_after=wait,
             )
 
