--- a/packages/core/src/bramleyglade_core/decisions/share_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_keeper.py
@@ -47,7 +47,10 @@
 _PREFETCH_SHARE = 0.1
 """Most of the keeper's level that one holder gets ahead."""
 
-_CROWDED_PAUSE_SECONDS = 0.5
+_CROWDED_SHARE = 0.85
+"""Part of the rate from which a team's demand is met by single tokens only."""
+
+_CROWDED_PAUSE_SECONDS = 0.3
 """Time between two asks of a holder while the team sends more than its rate."""
 
 _SMALLEST_TOKENS = 2
@@ -245,6 +248,10 @@
         total = self._total_demand(now)
         if total <= 0:
             return line.units
+        if total > _CROWDED_SHARE * team.rate:
+            # Many small buckets refuse here what another one has to spare; near
+            # its limit a team is counted in one bucket, request by request.
+            return 0
         spread = SHARE_UNITS * (1.0 - self._settings.keeper_reserve)
         proportional = spread * line.demand / total
         needed = SHARE_UNITS * _HEADROOM * line.demand / team.rate
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -106,9 +106,11 @@
         """Send heartbeats on one link until it breaks."""
         period = self._context.settings.peers.heartbeat_seconds
         while link.is_open:
+            # A link with requests under way is watched more closely.
+            pause = period / 2 if link.stream_count else period
             if link.stream_count or self._peers.is_neighbour(link):
                 await self._beat(link)
-            await curio.sleep(period * self._context.random.uniform(0.9, 1.1))
+            await curio.sleep(pause * self._context.random.uniform(0.9, 1.1))
 
     async def keep_watch(self) -> None:
         """Have silent neighbours looked at, for ever."""
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -47,6 +47,10 @@
 
 _UNREACHABLE_CODES = frozenset({ErrorCode.PEER_LOST, ErrorCode.TARGET_REFUSED})
 
+_NO_TARGET_RETRY_SECONDS = 0.4
+"""Time in which a report of a target, or a heartbeat of its guard, may come; callers
+of the users' platform wait no longer than a third of the time they have left."""
+
 _ASK_PAUSE_SECONDS = 0.3
 _GRACE_SECONDS = 0.25
 """Time beyond the deadline in which the guard's own word may still come."""
@@ -308,7 +312,7 @@
                 ErrorCode.NO_TARGET,
                 "no target takes the request",
                 self._verdict,
-                retry_after=1.0,
+                retry_after=_NO_TARGET_RETRY_SECONDS,
             )
         return pick
 
