Ask a running target for itself at a start; play the platform's path in tests

Cause: after a restart a guard knew no target until its next report, up to 1.5 s. One health check at the start, four at most, tells instance, slots and cold time.

--- a/packages/adapters/src/bramleyglade_adapters/http/fleet_dialect.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/fleet_dialect.py
@@ -13,6 +13,7 @@
     AnswerTerms,
     CallerTerms,
     ForwardedTerms,
+    HealthTerms,
     TargetTerms,
 )
 
@@ -73,6 +74,10 @@
         """Judge the head of an answer; every answer in the protocol is taken."""
         return AnswerTerms(is_failure=started.status >= _SERVER_ERROR)
 
+    def read_health(self, headers: Iterable[Header]) -> HealthTerms | None:
+        """Return None: targets say what they are when they announce themselves."""
+        return None
+
     def outcome_headers(
         self, verdict: Verdict, code: str, request_id: str
     ) -> list[Header]:
--- a/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
@@ -43,8 +43,15 @@
 class SimpleClient:
     """Sends one request at a time to one address."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, host: str = "") -> None:
+        """Make a client that connects when it is first used.
+
+        Args:
+            address: Where to connect.
+            host: Host to name in requests; empty for the address.
+        """
         self._address = address
+        self._host = host or str(address)
         self._connection: ClientConnection | None = None
         self._lock = curio.Lock()
 
@@ -117,7 +124,7 @@
         headers: tuple[Header, ...],
     ) -> WholeAnswer:
         head = (
-            Header("host", str(self._address)),
+            Header("host", self._host),
             Header("content-length", str(len(body))),
             *headers,
         )
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -208,6 +208,14 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class LocalTarget:
+    """The target on the daemon's VM, where the settings tell of it."""
+
+    service: str
+    address: Address
+
+
 @dataclass(frozen=True, slots=True)
 class DaemonSettings:
     """All settings of one daemon."""
@@ -228,6 +236,8 @@
     """Longest graceful stop."""
     notice_seconds: float = 1.0
     """Time for which a leaving daemon still answers on open connections."""
+    local_target: LocalTarget | None = None
+    """The target to ask for itself at a start; None if targets only announce."""
     lease: LeaseSettings = field(default_factory=LeaseSettings)
     limits: LimitSettings = field(default_factory=LimitSettings)
     health: HealthSettings = field(default_factory=HealthSettings)
--- a/packages/core/src/bramleyglade_core/ports/dialect.py
+++ b/packages/core/src/bramleyglade_core/ports/dialect.py
@@ -59,6 +59,17 @@
     """True if the target failed at the request."""
 
 
+@dataclass(frozen=True, slots=True)
+class HealthTerms:
+    """What a target's good answer to a health check says of it."""
+
+    instance: str
+    slots: int
+    """Requests that the target runs at once."""
+    cold_seconds: float = 0.0
+    """How much longer the target is cold."""
+
+
 class Dialect(Protocol):
     """Reads and writes the headers in which a deployment says such things."""
 
@@ -80,6 +91,9 @@
     def judge_answer(self, started: AnswerStarted, request_id: str) -> AnswerTerms:
         """Judge the head of an answer to a request of this name."""
 
+    def read_health(self, headers: Iterable[Header]) -> HealthTerms | None:
+        """Read the headers of a good health answer; None if they say too little."""
+
     def outcome_headers(
         self, verdict: Verdict, code: str, request_id: str
     ) -> list[Header]:
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -26,6 +26,7 @@
 from bramleyglade_daemon.guard.ejector import Ejector
 from bramleyglade_daemon.guard.guard import Guard, LocalGuardPort
 from bramleyglade_daemon.guard.report_reader import ReportReader
+from bramleyglade_daemon.guard.start_probe import StartProbe
 
 if TYPE_CHECKING:
     from bramleyglade_adapters.link.link import Link
@@ -98,6 +99,8 @@
             Ejector(self.context, self.guard, self.keepers).run,
         ):
             self._tasks.append(await curio.spawn(_run_for_ever, work, daemon=True))
+        probe = StartProbe(self.context, self.guard)
+        self._tasks.append(await curio.spawn(probe.run, daemon=True))
         await self._listen(settings.peer_address, self.peers.accept)
         for entrance in self.entrances:
             await self._listen(entrance.address, entrance.serve)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -59,6 +59,8 @@
         self._context = context
         self._peers = peers
         self._was_valid = False
+        self._has_store = False
+        """Whether the newest call to the store was answered."""
         self._pulling: set[str] = set()
         self.on_extended: Callable[[float, float], None] | None = None
         """Called with the times of asking and of the end of each extension."""
@@ -183,8 +185,8 @@
             after = view.revision
             asked_at = self._context.clock()
             listing = await self._context.store.watch(SHARED_PREFIX, after, wait)
-        except StoreError:
-            self._context.contact.note_failure()
+        except StoreError as error:
+            self._note_store_lost(error)
             return False
         return await self._take_listing(listing, after, asked_at)
 
@@ -193,15 +195,25 @@
         after = self._context.view.revision
         try:
             listing = await self._context.store.list_changed(SHARED_PREFIX, after)
-        except StoreError:
-            self._context.contact.note_failure()
+        except StoreError as error:
+            self._note_store_lost(error)
             return False
         return await self._take_listing(listing, after, asked_at)
 
+    def _note_store_lost(self, error: StoreError) -> None:
+        self._context.contact.note_failure()
+        if self._has_store:
+            self._has_store = False
+            extra = {"why": str(error), "revision": self._context.view.revision}
+            _LOG.warning("StoreLost", extra=extra)
+
     async def _take_listing(
         self, listing: Listing, after: int, asked_at: float
     ) -> bool:
         self._context.contact.note_success(asked_at)
+        if not self._has_store:
+            self._has_store = True
+            _LOG.info("StoreReached", extra={"revision": listing.revision})
         await self._apply(read_batch(listing, after), source="")
         if not self._context.view.is_current(listing.revision):
             return False
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -115,9 +115,13 @@
             return
         for other in [n for n in self.runner_by_name if n != name]:
             await self.withdraw(other)
-        await self.announce(report.announced)
-        cold_until = self._context.clock() + report.cold_seconds
-        self.runner_by_name[name].cold.note_cold(cold_until)
+        await self.find(report.announced, report.cold_seconds)
+
+    async def find(self, announced: TargetAnnouncement, cold_seconds: float) -> None:
+        """Take in a target that was asked, until it reports by itself."""
+        await self.announce(announced)
+        cold_until = self._context.clock() + cold_seconds
+        self.runner_by_name[announced.name].cold.note_cold(cold_until)
 
     async def depart(self, name: str, started_at: int | None) -> None:
         """Take out a target that says that it leaves, unless a newer run is here."""
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/guard/start_probe.py
@@ -0,0 +1,79 @@
+"""Asks the target on this VM for itself when the daemon starts beside it."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.http.simple_client import (
+    AnswerLost,
+    RequestNotSent,
+    SimpleClient,
+)
+from bramleyglade_core.model.announcements import TargetAnnouncement
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.settings import LocalTarget
+    from bramleyglade_core.ports.dialect import HealthTerms
+    from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.guard.guard import Guard
+
+_TRIES = 4
+"""Health checks at most; by then the target's own report has come."""
+
+_PAUSE_SECONDS = 0.3
+_TIMEOUT_SECONDS = 0.5
+"""Longest wait for an answer; a health check takes some 25 ms."""
+
+_OK = 200
+
+_LOG = logging.getLogger(__name__)
+
+
+class StartProbe:
+    """Finds a target that runs already, before its next report comes."""
+
+    def __init__(self, context: Context, guard: Guard) -> None:
+        self._context = context
+        self._guard = guard
+
+    async def run(self) -> None:
+        """Ask a few times at most."""
+        local = self._context.settings.local_target
+        if local is None:
+            return
+        tries = 0
+        while tries < _TRIES and not self._guard.runner_by_name:
+            service = self._context.configuration.service_by_name.get(local.service)
+            if service is not None and service.health_path:
+                tries += 1
+                terms = await self._ask(local, service.health_path)
+                if terms is not None and not self._guard.runner_by_name:
+                    await self._announce(local, terms)
+            await curio.sleep(_PAUSE_SECONDS)
+
+    async def _ask(self, local: LocalTarget, path: str) -> HealthTerms | None:
+        client = SimpleClient(local.address)
+        try:
+            answer = await client.request("GET", path, timeout_seconds=_TIMEOUT_SECONDS)
+        except (RequestNotSent, AnswerLost) as error:
+            _LOG.info("TargetNotFound", extra={"why": str(error)})
+            return None
+        finally:
+            await client.close()
+        if answer.status != _OK:
+            _LOG.info("TargetNotFound", extra={"why": f"status {answer.status}"})
+            return None
+        return self._context.dialect.read_health(answer.headers)
+
+    async def _announce(self, local: LocalTarget, terms: HealthTerms) -> None:
+        announced = TargetAnnouncement(
+            name=terms.instance,
+            service=local.service,
+            address=local.address,
+            slots=terms.slots,
+            instance=terms.instance,
+        )
+        await self._guard.find(announced, terms.cold_seconds)
--- a/packages/daemon/src/bramleyglade_daemon/program.py
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -63,10 +63,9 @@
     """Called when the settings may have changed."""
 
 
-async def serve(settings: DaemonSettings, outside: Surroundings) -> None:
-    """Run a daemon until SIGTERM or SIGINT, then stop it gracefully."""
+async def make_daemon(settings: DaemonSettings, outside: Surroundings) -> Daemon:
+    """Put a daemon together; it does not run yet."""
     telemetry = Telemetry(settings, random.Random())
-    stop_signal = StopSignal()
     incarnation = await next_incarnation(outside.store, settings.name)
     context = Context(
         settings,
@@ -78,13 +77,20 @@
     daemon = Daemon(context)
     if outside.prepare is not None:
         outside.prepare(daemon)
+    return daemon
+
+
+async def serve(settings: DaemonSettings, outside: Surroundings) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then stop it gracefully."""
+    stop_signal = StopSignal()
+    daemon = await make_daemon(settings, outside)
     await daemon.start()
     # What is alive now lives for ever; pauses grow with what is scanned.
     gc.freeze()
     gc.set_threshold(_YOUNG_OBJECTS, 20, 100)
     await stop_signal.wait(outside.reload)
     await daemon.stop()
-    telemetry.shut_down()
+    daemon.context.telemetry.shut_down()
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/standins/src/bramleyglade_standins/platform_target.py
@@ -0,0 +1,69 @@
+"""A stand-in for a target on the users' platform."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+import curio
+
+from bramleyglade_core.model.exchange import Header
+from bramleyglade_standins.http_server import StandInAnswer, StandInRequest
+
+_HEALTH_PATH = "/health"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformTargetBehaviour:
+    """How a target answers; the defaults are a well target's."""
+
+    work_seconds: float = 0.0
+    failure_status: int | None = None
+    """Status with which it fails each request; None if it serves them."""
+    sheds: bool = False
+    """True if it turns requests away unrun."""
+    loses_answers: bool = False
+    """True if it runs requests and resets the connection."""
+    cold_seconds: float = 0.0
+
+
+class PlatformTarget:
+    """Runs requests that name it, and keeps what it has seen of them."""
+
+    def __init__(self, instance: str, slots: int = 4) -> None:
+        self.instance = instance
+        self.slots = slots
+        self.behaviour = PlatformTargetBehaviour()
+        self.seen: list[dict[str, str]] = []
+        """Headers of each request that arrived, by name."""
+        self.runs_by_request: dict[str, int] = {}
+
+    async def answer(self, request: StandInRequest) -> StandInAnswer:
+        """Answer one request or health check."""
+        if request.head.target == _HEALTH_PATH:
+            return self._health()
+        header_by_name = {h.name: h.value for h in request.head.headers}
+        self.seen.append(header_by_name)
+        name = header_by_name.get("attempt-id", "")
+        echo = Header("attempt-id", name)
+        if header_by_name.get("expected-instance") != self.instance:
+            return StandInAnswer(421, b"", (echo, Header("instance-id", self.instance)))
+        if self.behaviour.sheds:
+            return StandInAnswer(503, b"", (echo, Header("not-executed", "1")))
+        self.runs_by_request[name] = self.runs_by_request.get(name, 0) + 1
+        if self.behaviour.work_seconds:
+            await curio.sleep(self.behaviour.work_seconds)
+        body = json.dumps({"instance": self.instance, "size": len(request.body)})
+        status = self.behaviour.failure_status or 200
+        headers = (echo, Header("server-seal", f"seal-of-{self.instance}"))
+        is_lost = self.behaviour.loses_answers
+        return StandInAnswer(status, body.encode(), headers, is_lost=is_lost)
+
+    def _health(self) -> StandInAnswer:
+        cold = str(int(self.behaviour.cold_seconds * 1000))
+        headers = (
+            Header("instance-id", self.instance),
+            Header("server-load", f"0,0,{self.slots}"),
+            Header("cold-remaining-ms", cold),
+        )
+        return StandInAnswer(200, b"", headers)
