Give peers that were never heard time before they are suspected

Cause: test_request_reaches_its_target_without_the_key failed once (503, no share): a daemon that started took all peers for silent since ever, suspected them within a heartbeat and claimed their shards (KeeperSuperseded four times in its log). Ruled out: load; the new test fails each time on the code before. Stand-in: one function ends a daemon, for both kinds of fleet.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -218,7 +218,7 @@
         for name in self._peers.neighbours:
             if not self._context.directory.is_live(name):
                 continue
-            if self._peers.silence(name) >= bound:
+            if self._peers.missing_seconds(name) >= bound:
                 await curio.spawn(self._check_indirectly, name, daemon=True)
 
     async def _check_indirectly(self, name: str) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -50,6 +50,7 @@
         self.links: set[Link] = set()
         """All links, also those beside the one in use for a peer."""
         self._heard_at_by_name: dict[str, float] = {}
+        self._missed_since_by_name: dict[str, float] = {}
         self._used_at_by_name: dict[str, float] = {}
         self._task_by_name: dict[str, curio.Task] = {}
         self._failed_at_by_name: dict[str, float] = {}
@@ -73,6 +74,16 @@
         """Return the seconds since a peer's last sign of life."""
         return self._context.clock() - self._heard_at_by_name.get(name, float("-inf"))
 
+    def missing_seconds(self, name: str) -> float:
+        """Return for how long a peer has been looked for in vain.
+
+        A peer that has never been heard counts from the first question, or a daemon
+        that starts would take all others for dead.
+        """
+        now = self._context.clock()
+        asked_at = self._missed_since_by_name.setdefault(name, now)
+        return now - max(asked_at, self._heard_at_by_name.get(name, asked_at))
+
     async def reach(self, name: str) -> Link:
         """Return the link to a peer, opening one if need be.
 
--- a/packages/standins/src/bramleyglade_standins/local_fleet.py
+++ b/packages/standins/src/bramleyglade_standins/local_fleet.py
@@ -111,6 +111,20 @@
     return Ticket(1, "first", tuple(entities))
 
 
+async def kill_daemon(daemon: Daemon) -> None:
+    """End a daemon without any leave-taking."""
+    for task in daemon._tasks:
+        await task.cancel()
+    await daemon.peers.close()
+    for runner in daemon.guard.runner_by_name.values():
+        for worker in [*runner._running, *runner._idle]:
+            if worker.task is not None:
+                await worker.task.cancel(blocking=False)
+    for connection in list(daemon.front.connections):
+        await connection._sock.close()
+    await curio.sleep(0)
+
+
 class SilentSocket:
     """A socket whose writes vanish, as behind a one-way cut."""
 
@@ -228,17 +242,7 @@
 
     async def kill(self, index: int) -> None:
         """End a daemon without any leave-taking."""
-        daemon = self.daemons[index]
-        for task in daemon._tasks:
-            await task.cancel()
-        await daemon.peers.close()
-        for runner in daemon.guard.runner_by_name.values():
-            for worker in [*runner._running, *runner._idle]:
-                if worker.task is not None:
-                    await worker.task.cancel(blocking=False)
-        for connection in list(daemon.front.connections):
-            await connection._sock.close()
-        await curio.sleep(0)
+        await kill_daemon(self.daemons[index])
 
     async def close(self) -> None:
         """End all daemons and targets."""
--- a/tests/platform_adapter/test_platform_path.py
+++ b/tests/platform_adapter/test_platform_path.py
@@ -16,7 +16,7 @@
 from bramleyglade_platform.__main__ import PlatformProgram
 from bramleyglade_platform.platform_settings import load_platform_settings
 from bramleyglade_standins.http_server import listen
-from bramleyglade_standins.local_fleet import free_address
+from bramleyglade_standins.local_fleet import free_address, kill_daemon
 from bramleyglade_standins.platform_server import PlatformFaults, StandInPlatform
 from bramleyglade_standins.platform_target import PlatformTarget
 
@@ -148,7 +148,11 @@
                 await fleet.start()
                 if is_configured:
                     await fleet.until_serving()
-                await scenario(fleet)
+                try:
+                    await scenario(fleet)
+                finally:
+                    for daemon in fleet.daemons:
+                        await kill_daemon(daemon)
 
         curio.run(main)
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -277,3 +277,19 @@
         assert fleet.store.calls - calls <= 10 * 10 * len(fleet.daemons)
 
     run_fleet(scenario, daemons=3, zones=3)
+
+
+def test_daemon_that_starts_gives_its_peers_time_to_be_heard(run_fleet):
+    """Peers that it had not heard yet once counted as silent for ever."""
+
+    async def scenario(fleet):
+        await fleet.kill(2)
+        fleet.blocked |= {frozenset((0, 2)), frozenset((1, 2))}
+        daemon = await fleet.start_daemon(2, seed=1)
+        names = {"vm-0", "vm-1"}
+        await fleet.until(lambda: names <= set(daemon.context.directory.member_names()))
+        # Longer than a heartbeat, and well below the time to suspect a peer.
+        await curio.sleep(0.5)
+        assert names <= set(daemon.context.directory.live_names())
+
+    run_fleet(scenario, daemons=3)
