Keep shares while a keeper is replaced; refuse offers that were held up on their way

A new keeper now confirms what holders state from its first moment, and a keeper counts a lapsed share as held for a lease's term more, so that the old one, if it lives, can't have granted it again. test_holders_keep_their_shares_while_a_keeper_is_replaced fails without it. A guard compares each offer's way with the fastest one from that front and refuses what was held up for over 0.4 s.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -184,6 +184,7 @@
   mustStartNow @13 :Bool;
   mostRisk @14 :Float64;
   objectiveSeconds @15 :Float64;
+  sentAt @16 :Float64;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
@@ -57,6 +57,12 @@
         lease = self._settings.lease
         return lease.term_seconds + lease.margin_seconds
 
+    @property
+    def _keeps_shares(self) -> bool:
+        """Whether the predecessor still counts all shares as held, if it lives."""
+        grace = self._settings.limits.reclaim_grace_seconds
+        return grace >= self.lease_wait_seconds
+
     def needs_confirmation(self, now: float) -> bool:
         """Tell whether a word of the sample would let the keeper go on."""
         if self.phase is not KeeperPhase.GRANTING:
@@ -131,11 +137,11 @@
         Returns:
             The answer, or None for an ask that came twice or late.
         """
-        if self.phase is KeeperPhase.WAITING:
+        if self.phase is KeeperPhase.WAITING and not self._keeps_shares:
             return ShareGranted(asked.team, asked.sequence, False, retry_after=0.5)
         level = float(team.burst) if self._is_first else 0.0
         book = self._book(team.name, level, self._granting_since)
-        is_collecting = self.phase is KeeperPhase.COLLECTING
+        is_collecting = self.phase is not KeeperPhase.GRANTING
         return book.answer(asked, team, now, is_collecting)
 
     def recalls(self, asked: ShareAsked, now: float) -> list[DaemonId]:
--- a/packages/core/src/bramleyglade_core/decisions/share_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_keeper.py
@@ -124,7 +124,8 @@
 
     def has_lapsed(self, now: float) -> bool:
         """Tell whether a line is past its term and waits to be reclaimed."""
-        return any(line.term_end < now for line in self._line_by_holder.values())
+        oldest = now - self._settings.reclaim_grace_seconds
+        return any(line.term_end < oldest for line in self._line_by_holder.values())
 
     def reclaim(self, team: Team, now: float) -> None:
         """Take back what lapsed; only when no extension can be in force.
@@ -134,10 +135,11 @@
             now: Time of this process's clock, in seconds.
         """
         self._refill(team, now)
+        oldest = now - self._settings.reclaim_grace_seconds
         lapsed = [
             holder
             for holder, line in self._line_by_holder.items()
-            if line.term_end < now
+            if line.term_end < oldest
         ]
         for holder in lapsed:
             del self._line_by_holder[holder]
--- a/packages/core/src/bramleyglade_core/model/errors.py
+++ b/packages/core/src/bramleyglade_core/model/errors.py
@@ -43,6 +43,7 @@
     ZONE_OUT = "zone-out"
     PEER_LOST = "peer-lost"
     ATTEMPT_FENCED = "attempt-fenced"
+    ATTEMPT_LATE = "attempt-late"
     ATTEMPT_CANCELLED = "attempt-cancelled"
     DAEMON_FULL = "daemon-full"
     DAEMON_STOPPING = "daemon-stopping"
--- a/packages/core/src/bramleyglade_core/model/exchange.py
+++ b/packages/core/src/bramleyglade_core/model/exchange.py
@@ -48,6 +48,8 @@
     """Probability of failure above which the guard is to refuse, 0 to 1."""
     objective_seconds: float | None = None
     """Time left within the latency objective, in seconds; None without one."""
+    sent_at: float = 0.0
+    """When the front sent it, by the front's own clock, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -68,6 +68,12 @@
     """Time between two asks of a holder for the same team."""
     answer_wait_seconds: float = 2.0
     """How long a request waits for a share while the keeper is silent."""
+    reclaim_grace_seconds: float = 0.0
+    """Time beyond its term in which a share is still counted as held.
+
+    If it is above the lease's term, holders keep their shares while a keeper is
+    replaced: the old keeper can't have granted them to others meanwhile.
+    """
     keeper_reserve: float = 0.1
     """Share of the rate that a keeper keeps for single tokens, 0 to 1."""
     holder_burst: float = 0.5
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from functools import partial, singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
 import curio
 
 from bramleyglade_adapters.link.link import Link, LinkLost
+from bramleyglade_core.decisions.link_delay import MOST_DELAY_SECONDS, LinkDelay
 from bramleyglade_core.model.ejections import EjectionAsked
-from bramleyglade_core.model.exchange import AttemptOffered
+from bramleyglade_core.model.errors import ErrorCode, FleetError
+from bramleyglade_core.model.exchange import AttemptFailed, AttemptOffered
 from bramleyglade_core.model.peer_messages import (
     Acknowledged,
     BatchAsked,
@@ -31,9 +34,11 @@
     ShareAsked,
     ShareRecalled,
 )
+from bramleyglade_core.model.verdict import Verdict
 from bramleyglade_daemon.streams import GuardStream, LinkPoster, ViewPoster
 
 if TYPE_CHECKING:
+    from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.keepers import Keepers
     from bramleyglade_daemon.fleet.membership import Membership
@@ -73,6 +78,7 @@
         self._keepers = keepers
         self._guard = guard
         self._offered_at_by_peer: dict[str, float] = {}
+        self._delay_by_peer: dict[DaemonId, LinkDelay] = {}
 
     async def handle(self, link: Link, stream: int, message: Any) -> None:
         """Take in the first message of a stream."""
@@ -166,7 +172,14 @@
         self._offered_at_by_peer[link.peer.daemon.name] = self._context.clock()
         poster = ViewPoster(link, stream, partial(self._guard.view_of, message.target))
         guard_stream = self._guard_stream(link, stream, poster)
-        await self._guard.accept(message, guard_stream)
+        peer = link.peer.daemon
+        delay = self._delay_by_peer.setdefault(peer, LinkDelay())
+        held_up = delay.note(message.sent_at, self._context.clock())
+        if held_up > MOST_DELAY_SECONDS:
+            await self._refuse_late(message, guard_stream, held_up)
+            return
+        left = max(0.0, message.deadline_seconds - held_up)
+        await self._guard.accept(replace(message, deadline_seconds=left), guard_stream)
 
     @_handle.register
     async def _(self, message: OutcomeAsked, link: Link, stream: int) -> None:
@@ -192,6 +205,23 @@
             link.peer.daemon.name, (message,), self._context.clock()
         )
 
+    async def _refuse_late(
+        self, offered: AttemptOffered, stream: GuardStream, held_up: float
+    ) -> None:
+        """Refuse an offer that was held up; its front may know better by now."""
+        self._guard.attempts.fence(offered.attempt)
+        extra = {"request": offered.request_id, "seconds": round(held_up, 3)}
+        _LOG.info("OfferLate", extra=extra)
+        failed = AttemptFailed(
+            ErrorCode.ATTEMPT_LATE,
+            f"the offer was {held_up:.2f} s on its way",
+            Verdict.NOT_RUN,
+        )
+        try:
+            await stream.send(failed)
+        except FleetError as error:
+            _LOG.debug("FrontUnreachable", extra={"why": str(error)})
+
     def _guard_stream(self, link: Link, stream: int, poster: LinkPoster) -> GuardStream:
         window = self._context.settings.peers.window_bytes
         guard_stream = GuardStream(poster, window)
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -339,6 +339,7 @@
             must_start_now=is_picky and pick.is_free,
             most_risk=pick.most_risk if is_picky else 1.0,
             objective_seconds=self._objective_left(),
+            sent_at=self._context.clock(),
         )
 
     def _objective_left(self) -> float | None:
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -131,7 +131,11 @@
         holding = share.holding
         while True:
             now = self._context.clock()
-            refill = min(holding.seconds_to_token(team, now), _LONGEST_REFILL_SECONDS)
+            refill = holding.seconds_to_token(team, now)
+            is_hopeless = refill > self._context.settings.limits.answer_wait_seconds
+            if is_hopeless and now < holding.dry_until:
+                return False  # Nothing comes in time; the caller hears it at once.
+            refill = min(refill, _LONGEST_REFILL_SECONDS)
             if now >= holding.dry_until:
                 await curio.ignore_after(refill, self._await_answer, share, team)
             elif holding.is_keeper_heard:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 from benchmarks.limiter import (
     KeeperModel,
@@ -169,6 +170,33 @@
     assert keeper.phase is KeeperPhase.GRANTING
 
 
+def test_holders_keep_their_shares_while_a_keeper_is_replaced(settings, clock):
+    """A dead keeper once cost its teams all they held, for 8 s and more."""
+    lease = settings.lease
+    grace = lease.term_seconds + lease.margin_seconds
+    limits = replace(settings.limits, reclaim_grace_seconds=grace)
+    settings = replace(settings, limits=limits)
+    old = make_keeper(settings, clock, epoch=1)
+    holder = ShareHolding(OLD, limits)
+    holder.credit(old.answer(ask_of(holder, clock), TEAM, clock.now), TEAM, clock.now)
+    held = holder.units
+    assert held
+    successor = make_keeper(settings, clock)
+    end = clock.now + limits.slice_term_seconds + grace
+    while clock.now < end:
+        granted = successor.answer(ask_of(holder, clock), TEAM, clock.now)
+        assert granted.added_units == granted.added_tokens == 0
+        holder.credit(granted, TEAM, clock.now)
+        assert holder.units == held
+        # The old keeper, if it lives, must not grant these units to another.
+        stranger = ShareHolding(NEW, limits)
+        old.confirm({TEAM.name: TEAM}, clock.now)
+        other = old.answer(ask_of(stranger, clock), TEAM, clock.now)
+        if other is not None:
+            assert other.added_units <= SHARE_UNITS - held
+        clock.advance(0.5)
+
+
 def test_share_that_was_not_confirmed_in_time_is_void(settings, clock):
     keeper = make_keeper(settings, clock)
     for _ in range(2):
--- a/tests/test_target_decisions.py
+++ b/tests/test_target_decisions.py
@@ -9,6 +9,7 @@
 
 from bramleyglade_core.decisions.cold_gate import ColdGate
 from bramleyglade_core.decisions.failure_filter import FailureFilter, faded_risk
+from bramleyglade_core.decisions.link_delay import LinkDelay
 from bramleyglade_core.decisions.report_order import ReportOrder
 from bramleyglade_core.decisions.retry_budget import RetryBudget
 from bramleyglade_core.decisions.splitter import Splitter
@@ -135,3 +136,11 @@
     budget.share_floor(31)
     assert budget.try_spend(Verdict.RAN)
     assert not budget.try_spend(Verdict.RAN)
+
+
+@given(offset=st.floats(-1e6, 1e6), held_up=st.floats(0.5, 10.0))
+def test_delay_is_seen_between_clocks_that_differ(offset, held_up):
+    delay = LinkDelay()
+    for second in range(5):
+        assert delay.note(float(second), second + offset + 0.001) < 0.01
+    assert abs(delay.note(9.0, 9.0 + offset + held_up) - held_up) < 0.01
