--- a/packages/adapters/src/bramleyglade_adapters/link/link.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -143,8 +143,8 @@
         self._is_closed = True
         try:
             await self._sock.shutdown(2)
-        except OSError:
-            pass
+        except OSError as error:
+            _LOG.debug("LinkGone", extra={"peer": self.peer_name, "why": str(error)})
 
     def open_stream(self, receiver: Receiver) -> int:
         """Number a new stream of this side.
@@ -197,8 +197,9 @@
         self._last_stream += 1
         try:
             await self.post(self._last_stream, False, message)
-        except LinkLost:
-            pass
+        except LinkLost as error:
+            extra = {"kind": type(message).__name__, "why": error.detail}
+            _LOG.debug("MessageLost", extra=extra)
 
     async def call(self, message: Any, timeout_seconds: float) -> Any:
         """Send a message and wait for its answer.
--- a/packages/adapters/src/bramleyglade_adapters/store/http_store.py
+++ b/packages/adapters/src/bramleyglade_adapters/store/http_store.py
@@ -18,10 +18,10 @@
     SimpleClient,
     WholeAnswer,
 )
+from bramleyglade_adapters.store.store_answers import json_body, refused
 from bramleyglade_core.model.errors import (
     ErrorCode,
     StoreAnswerLost,
-    StoreError,
     StoreUnavailable,
     VersionConflict,
 )
@@ -51,7 +51,7 @@
         answer = await self._read(self._client, f"/v1/objects/{quote(key)}")
         if answer.status == _NOT_FOUND:
             return None
-        return _object(_body(answer))
+        return _object(json_body(answer))
 
     async def create(self, key: str, value: bytes) -> int:
         """Create an object and return the revision."""
@@ -92,7 +92,7 @@
         except (RequestNotSent, AnswerLost) as error:
             raise StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, str(error)) from None
         if answer.status not in (_OK, _NOT_FOUND):
-            raise _refused(answer)
+            raise refused(answer)
         return answer
 
     async def _write(self, key: str, value: bytes, condition: Header) -> int:
@@ -112,23 +112,8 @@
         if answer.status == _CONFLICT:
             raise VersionConflict(ErrorCode.VERSION_CONFLICT, f"{key} has changed")
         if answer.status != _OK:
-            raise _refused(answer)
-        return int(_body(answer)["revision"])
-
-
-def _refused(answer: WholeAnswer) -> StoreError:
-    detail = f"the store answered {answer.status}"
-    return StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, detail)
-
-
-def _body(answer: WholeAnswer) -> dict[str, Any]:
-    try:
-        body = json.loads(answer.body)
-    except ValueError:
-        body = None
-    if not isinstance(body, dict):
-        raise StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, "no JSON from the store")
-    return body
+            raise refused(answer)
+        return int(json_body(answer)["revision"])
 
 
 def _object(plain: dict[str, Any]) -> StoredObject:
@@ -137,6 +122,6 @@
 
 
 def _listing(answer: WholeAnswer) -> Listing:
-    plain = _body(answer)
+    plain = json_body(answer)
     objects = tuple(_object(entry) for entry in plain["objects"])
     return Listing(objects, int(plain["revision"]))
--- a/packages/daemon/src/bramleyglade_daemon/streams.py
+++ b/packages/daemon/src/bramleyglade_daemon/streams.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Any, Protocol
 
 import curio
@@ -31,6 +32,8 @@
     from bramleyglade_adapters.link.link import Link
     from bramleyglade_core.model.peer_messages import TargetViewTold
 
+_LOG = logging.getLogger(__name__)
+
 _CREDIT_SHARE = 4
 """Credit is given back once this part of the window has been taken in."""
 
@@ -188,8 +191,9 @@
             return
         try:
             await self._poster.post(AttemptCancelled())
-        except FleetError:
-            pass
+        except FleetError as error:
+            # The guard notices the lost link by itself.
+            _LOG.debug("CancelUndelivered", extra={"why": error.detail})
         finally:
             self._close()
 
@@ -220,8 +224,9 @@
         granted, self._taken_in = self._taken_in, 0
         try:
             await self._poster.post(CreditGranted(granted))
-        except FleetError:
-            pass
+        except FleetError as error:
+            # The answer's end tells of the lost link.
+            _LOG.debug("CreditUndelivered", extra={"why": error.detail})
 
 
 class GuardStream:
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,80 @@
+"""Logs: one JSON object a line, bounded, never waiting for their reader."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+
+import pytest
+
+from bramleyglade_adapters.logs import BoundedHandler, JsonLineFormatter
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+@pytest.fixture
+def handler(pipe, clock):
+    handler = BoundedHandler(pipe[1], clock)
+    handler.setFormatter(JsonLineFormatter())
+    return handler
+
+
+def _record(number, text=""):
+    record = logging.LogRecord("test", logging.INFO, "", 0, "Happened", None, None)
+    record.number = number
+    record.text = text
+    return record
+
+
+def _read(reader):
+    data = b""
+    while True:
+        try:
+            piece = os.read(reader, 1 << 20)
+        except BlockingIOError:
+            return [json.loads(line) for line in data.splitlines()]
+        data += piece
+
+
+def test_reader_that_stops_holds_nobody_up(pipe, handler, clock):
+    for number in range(3000):
+        clock.advance(0.01)
+        handler.emit(_record(number, "x" * 200))
+    first = _read(pipe[0])
+    assert 0 < len(first) < 3000
+    clock.advance(1.0)
+    handler.emit(_record(-1))
+    rest = _read(pipe[0])
+    dropped = [line["lines"] for line in rest if line["event"] == "LogLinesDropped"]
+    whole = [line for line in first + rest if line["event"] == "Happened"]
+    assert sum(dropped) + len(whole) == 3001
+    assert rest[-1]["number"] == -1
+
+
+def test_lines_that_come_too_fast_are_dropped_and_counted(pipe, handler, clock):
+    for number in range(500):
+        handler.emit(_record(number))
+    clock.advance(1.0)
+    handler.emit(_record(500))
+    lines = _read(pipe[0])
+    dropped = [line["lines"] for line in lines if line["event"] == "LogLinesDropped"]
+    assert sum(dropped) == 501 - (len(lines) - 1)
+    assert lines[-1]["number"] == 500
+
+
+def test_reader_that_is_gone_ends_nothing(clock):
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer, clock)
+    handler.setFormatter(JsonLineFormatter())
+    os.close(reader)
+    handler.emit(_record(1))
+    handler.emit(_record(2))
+    os.close(writer)
