--- a/packages/core/src/bramleyglade_core/decisions/directory.py
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -113,6 +113,10 @@
             if now - since >= ABSENT_SECONDS:
                 self._forget(name)
 
+    def absent_seconds(self, name: str, now: float) -> float:
+        """Return how long a member has answered nobody, as far as was looked."""
+        return now - self._absent_since_by_name.get(name, now)
+
     def is_live(self, name: str) -> bool:
         """Tell whether a daemon is in the fleet and answers somebody."""
         record = self.record_by_name.get(name)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import curio
@@ -15,6 +16,7 @@
 )
 from bramleyglade_adapters.structure import to_json
 from bramleyglade_core.decisions.rendezvous import rank
+from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.errors import FleetError, StoreError
 from bramleyglade_core.model.peer_messages import (
     HeartbeatAnswered,
@@ -42,6 +44,10 @@
 _STORE_PERIOD_SECONDS = 20.0
 """Time between two looks at the announcements in the store."""
 
+_GONE_SECONDS = 6.0
+"""Time without a sign of life after which the store is told that a member is gone;
+all that it may hold of a team's rate has lapsed by then."""
+
 _NEIGHBOUR_PERIOD_SECONDS = 1.0
 _STORE_RETRY_SECONDS = 1.0
 
@@ -118,6 +124,7 @@
             await curio.sleep(self._context.settings.peers.heartbeat_seconds)
             await self._check_silent()
             self._context.directory.forget_absent(self._context.clock())
+            await self._record_absent()
 
     async def keep_neighbours(self) -> None:
         """Keep links to neighbours, and to seeds until members are known."""
@@ -221,6 +228,44 @@
             if self._peers.missing_seconds(name) >= bound:
                 await curio.spawn(self._check_indirectly, name, daemon=True)
 
+    async def _record_absent(self) -> None:
+        """Have the store say that members are gone which answer nobody for long.
+
+        A fleet that starts anew would wait for them otherwise. One that lives and
+        was only cut off speaks up with a newer record.
+        """
+        now = self._context.clock()
+        directory = self._context.directory
+        for name in directory.member_names():
+            if directory.absent_seconds(name, now) < _GONE_SECONDS:
+                continue
+            serving = directory.serving_names()
+            is_own_task = rank(f"gone/{name}", serving)[:1] == [
+                self._context.settings.name
+            ]
+            if is_own_task and self._context.lease.is_valid:
+                await self._record_gone(directory.record_by_name[name])
+
+    async def _record_gone(self, record: MemberRecord) -> None:
+        gone = replace(
+            record, phase=DaemonPhase.GONE, targets=(), sequence=record.sequence + 1
+        )
+        name = record.daemon.name
+        try:
+            stored = await self._context.store.read(member_key(name))
+            if stored is None:
+                return
+            known = read_members(Listing((stored,), stored.revision))
+            if not known or known[0].daemon != record.daemon:
+                return  # A later run has written since.
+            key = member_key(name)
+            await self._context.store.update(key, to_json(gone), stored.revision)
+        except StoreError as error:
+            _LOG.info("GoneNotWritten", extra={"member": name, "why": str(error)})
+            return
+        _LOG.warning("MemberGone", extra={"member": name})
+        await self.take_records((gone,), source="")
+
     async def _check_indirectly(self, name: str) -> None:
         count = self._context.settings.peers.indirect_checks
         links = [
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bramleyglade_adapters.http.simple_client import SimpleClient
+from bramleyglade_adapters.store.shared_objects import MEMBER_PREFIX, read_members
 from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.entities import Zone
 from bramleyglade_core.model.exchange import Header
@@ -293,3 +294,25 @@
         assert names <= set(daemon.context.directory.live_names())
 
     run_fleet(scenario, daemons=3)
+
+
+def test_lost_daemon_is_recorded_as_gone_and_a_live_one_speaks_up(run_fleet):
+    """A fleet that started anew once waited for each VM that had been lost."""
+
+    async def scenario(fleet):
+        await fleet.kill(2)
+        context = fleet.daemons[0].context
+
+        def phase_of(name):
+            return context.directory.record_by_name[name].phase
+
+        await fleet.until(lambda: phase_of("vm-2") is DaemonPhase.GONE)
+        listing = await fleet.store.list_changed(MEMBER_PREFIX, 0)
+        records = {r.daemon.name: r for r in read_members(listing)}
+        assert records["vm-2"].phase is DaemonPhase.GONE
+        live = context.directory.record_by_name["vm-1"]
+        gone = replace(live, phase=DaemonPhase.GONE, sequence=live.sequence + 1)
+        await fleet.daemons[0].membership.take_records((gone,), "")
+        await fleet.until(lambda: phase_of("vm-1") is DaemonPhase.SERVING)
+
+    run_fleet(scenario, daemons=3)
