--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -298,13 +298,11 @@
     def _has_ended(self, daemon: DaemonId) -> bool:
         """Tell whether a run of a daemon is over, as a later one has begun."""
         record = self._context.directory.record_by_name.get(daemon.name)
-        return (
-            record is not None and record.daemon.incarnation > daemon.incarnation
-        ) or (
-            record is not None
-            and record.daemon == daemon
-            and record.phase is DaemonPhase.GONE
-        )
+        if record is None:
+            return False
+        if record.daemon.incarnation > daemon.incarnation:
+            return True
+        return record.daemon == daemon and record.phase is DaemonPhase.GONE
 
     async def _ask_holdings(self, shard: int, keeper: ShardKeeper) -> None:
         """Ask all members what they hold; one that is silent costs the full wait."""
