Watch the caller of a request with a body while it waits for a slot

The front now reads ahead what it can keep, up to 256 KB, and watches for the caller's leaving behind it. Ruled out: an offer held up on a link (both in one zone, no fault on their links). test_caller_that_leaves_while_its_request_waits_is_never_run failed first.

--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -10,7 +10,7 @@
 from bramleyglade_adapters.http.server_connection import (
     RequestHead,
 )
-from bramleyglade_adapters.http.wire import has_left
+from bramleyglade_adapters.http.wire import RECEIVE_BYTES, has_left
 from bramleyglade_core.model.entities import Route, Service
 from bramleyglade_core.model.errors import BadRequest, ErrorCode
 from bramleyglade_core.model.exchange import AttemptFailed, Header
@@ -26,7 +26,7 @@
     from bramleyglade_core.ports.dialect import CallerTerms
     from bramleyglade_core.ports.streams import AttemptStream
 
-REPLAY_BYTES = 65_536
+REPLAY_BYTES = 262_144
 """Largest body that is kept to be sent again with a retry."""
 
 _REQUEST_ID_BITS = 64
@@ -97,7 +97,9 @@
 
     async def feed(self, stream: AttemptStream) -> None:
         """Send the body to an attempt, once its guard wants it."""
-        await stream.wait_for_body_credit()
+        if not self._connection.wants_continue:
+            await self._read_ahead()
+        await self._wait_for_credit(stream)
         for data in self._kept:
             await stream.send_body(data)
         while not self._is_whole:
@@ -109,6 +111,28 @@
             await stream.send_body(piece)
         await stream.end_body()
 
+    async def _read_ahead(self) -> None:
+        """Read what can be kept, so that the caller's leaving shows behind it."""
+        while not self._is_whole and self._kept_bytes + RECEIVE_BYTES <= REPLAY_BYTES:
+            if self.is_spent:
+                return
+            piece = await self._read()
+            if piece is None:
+                self._is_whole = True
+            else:
+                self._keep(piece)
+
+    async def _wait_for_credit(self, stream: AttemptStream) -> None:
+        """Wait until the guard wants the body, or the caller leaves."""
+        if not self._is_whole:
+            await stream.wait_for_body_credit()
+            return
+        watcher = await curio.spawn(self.watch_caller, stream)
+        try:
+            await stream.wait_for_body_credit()
+        finally:
+            await watcher.cancel()
+
     async def watch_caller(self, stream: AttemptStream) -> None:
         """Give up an attempt if its caller leaves while it waits."""
         if await has_left(self._connection.sock):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -15,7 +15,7 @@
 from bramleyglade_core.model.identifiers import AttemptId, DaemonId
 from bramleyglade_core.model.verdict import Verdict
 from bramleyglade_daemon.guard.guard import LocalGuardPort
-from bramleyglade_standins.local_fleet import free_address
+from bramleyglade_standins.local_fleet import KEY, free_address
 
 
 def test_request_is_answered_through_any_daemon(run_fleet):
@@ -259,6 +259,28 @@
     run_fleet(scenario, daemons=1, zones=1)
 
 
+@pytest.mark.parametrize("body", [b"", b"x" * 1000, b"x" * 150_000])
+def test_caller_that_leaves_while_its_request_waits_is_never_run(run_fleet, body):
+    """Nobody looked at the caller of a request with a body before its turn came."""
+
+    async def scenario(fleet):
+        target = fleet.targets[0]
+        target.behaviour = replace(target.behaviour, work_seconds=1.0)
+        running = await curio.spawn(fleet.call, 0, "POST")
+        await curio.sleep(0.2)
+        headers = (Header("x-request-id", "left"),)
+        waiting = await curio.spawn(
+            fleet.call, 0, "POST", "/songs/1", body, KEY, headers
+        )
+        await curio.sleep(0.3)
+        await waiting.cancel()
+        assert (await running.join()).status == 200
+        await curio.sleep(0.5)
+        assert fleet.runs("left") == 0
+
+    run_fleet(scenario, daemons=1)
+
+
 def test_refusal_after_a_retry_tells_of_the_first_attempt_too(run_fleet):
     """The first attempt ran; that no target is left then does not undo it."""
 
