--- a/packages/core/src/bramleyglade_core/decisions/rendezvous.py
+++ b/packages/core/src/bramleyglade_core/decisions/rendezvous.py
@@ -7,7 +7,7 @@
 import xxhash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
 
 def weight(key: str, name: str) -> int:
@@ -28,6 +28,29 @@
     return sorted(names, key=lambda name: (weight(key, name), name), reverse=True)
 
 
+def spread(key: str, zone_by_name: Mapping[str, str], count: int) -> list[str]:
+    """Choose names by turns from each zone, in each the winners for a key.
+
+    Args:
+        key: What is to be placed.
+        zone_by_name: Candidates with their zones.
+        count: Most names to choose.
+
+    Returns:
+        The names, from as many zones as there are.
+    """
+    names_by_zone: dict[str, list[str]] = {}
+    for name in rank(key, zone_by_name):
+        names_by_zone.setdefault(zone_by_name[name], []).append(name)
+    chosen: list[str] = []
+    while names_by_zone and len(chosen) < count:
+        for zone in sorted(names_by_zone):
+            chosen.append(names_by_zone[zone].pop(0))
+            if not names_by_zone[zone]:
+                del names_by_zone[zone]
+    return chosen[:count]
+
+
 def shard_of(key: str, shards: int) -> int:
     """Return the shard of a key, from 0 to `shards` - 1."""
     return xxhash.xxh64_intdigest(key.encode()) % shards
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -20,7 +20,7 @@
     is_away_for_majority,
     is_reached_by_majority,
 )
-from bramleyglade_core.decisions.rendezvous import rank
+from bramleyglade_core.decisions.rendezvous import spread
 from bramleyglade_core.decisions.shared_view import SharedBatch
 from bramleyglade_core.model.errors import FleetError, StoreError
 from bramleyglade_core.model.peer_messages import (
@@ -169,8 +169,9 @@
     def _is_watcher(self) -> bool:
         serving = self._context.directory.serving_names()
         own = self._context.settings.name
+        # Over all zones, so that no cut and no lost zone takes them all.
         readers = self._context.settings.lease.readers
-        return own in rank("watchers", serving)[:readers]
+        return own in spread("watchers", self._zones_of(serving), readers)
 
     async def _watch_store(self) -> bool:
         view = self._context.view
@@ -276,20 +277,14 @@
 
     def _sample(self) -> list[str]:
         """Choose members by turns from each zone; always the same ones."""
-        directory = self._context.directory
         own = self._context.settings.name
-        names_by_zone: dict[str, list[str]] = {}
-        for name in rank(own, directory.member_names()):
-            zone = directory.record_by_name[name].zone
-            names_by_zone.setdefault(zone, []).append(name)
+        names = self._context.directory.member_names()
         size = self._context.settings.lease.sample_size
-        chosen: list[str] = []
-        while names_by_zone and len(chosen) < size:
-            for zone in sorted(names_by_zone):
-                chosen.append(names_by_zone[zone].pop(0))
-                if not names_by_zone[zone]:
-                    del names_by_zone[zone]
-        return chosen[:size]
+        return spread(own, self._zones_of(names), size)
+
+    def _zones_of(self, names: list[str]) -> dict[str, str]:
+        records = self._context.directory.record_by_name
+        return {name: records[name].zone for name in names}
 
     def _log_lapse(self) -> None:
         is_valid = self._context.lease.is_valid
--- a/tests/test_target_decisions.py
+++ b/tests/test_target_decisions.py
@@ -10,6 +10,7 @@
 from bramleyglade_core.decisions.cold_gate import ColdGate
 from bramleyglade_core.decisions.failure_filter import FailureFilter, faded_risk
 from bramleyglade_core.decisions.link_delay import LinkDelay
+from bramleyglade_core.decisions.rendezvous import spread
 from bramleyglade_core.decisions.report_order import ReportOrder
 from bramleyglade_core.decisions.retry_budget import RetryBudget
 from bramleyglade_core.decisions.splitter import Splitter
@@ -144,3 +145,18 @@
     for second in range(5):
         assert delay.note(float(second), second + offset + 0.001) < 0.01
     assert abs(delay.note(9.0, 9.0 + offset + held_up) - held_up) < 0.01
+
+
+@given(
+    sizes=st.lists(st.integers(1, 9), min_size=1, max_size=5), count=st.integers(1, 9)
+)
+def test_readers_are_spread_over_all_zones(sizes, count):
+    zone_by_name = {
+        f"vm-{zone}-{number}": f"zone-{zone}"
+        for zone, size in enumerate(sizes)
+        for number in range(size)
+    }
+    chosen = spread("watchers", zone_by_name, count)
+    assert len(set(chosen)) == len(chosen) == min(count, len(zone_by_name))
+    zones = {zone_by_name[name] for name in chosen}
+    assert len(zones) == min(count, len(sizes))
