--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -127,6 +127,7 @@
   addedTokens @6 :UInt32;
   targetUnits @7 :UInt32;
   retryAfter @8 :Float64;
+  isWaiting @9 :Bool;
 }
 
 struct ShareRecalled { team @0 :Text; }
--- a/packages/core/src/bramleyglade_core/decisions/share_holding.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_holding.py
@@ -75,6 +75,8 @@
         self.dry_until = float("-inf")
         """The keeper said that asking again before this time is no use."""
         self.next_ask_at = float("-inf")
+        self.is_keeper_waiting = False
+        """Whether the keeper confirmed what is held and can't grant more yet."""
         self.is_keeper_heard = True
         """Whether the newest ask was answered by a keeper that can grant."""
 
@@ -168,6 +170,7 @@
         asked_at, self._asked_at = self._asked_at, None
         self.dry_until = now + granted.retry_after
         self.is_keeper_heard = granted.is_known
+        self.is_keeper_waiting = granted.is_waiting
         if not granted.is_known:
             return False
         self._refill(team, now)
--- a/packages/core/src/bramleyglade_core/decisions/share_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_keeper.py
@@ -201,6 +201,7 @@
             booked_units=line.units,
             target_units=line.units,
             retry_after=self._settings.renew_seconds,
+            is_waiting=True,
         )
 
     def _grant(
--- a/packages/core/src/bramleyglade_core/model/shares.py
+++ b/packages/core/src/bramleyglade_core/model/shares.py
@@ -54,6 +54,8 @@
     """What the holder should hold; it returns what is above."""
     retry_after: float = 0.0
     """Seconds until asking again is useful."""
+    is_waiting: bool = False
+    """True if the keeper confirms what is held, and can't grant more yet."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -182,7 +182,8 @@
         now = self._context.clock()
         holding = share.holding
         wait = max(0.1, holding.dry_until - now)
-        if not holding.is_keeper_heard or now >= holding.dry_until:
+        is_unknown = not holding.is_keeper_heard or holding.is_keeper_waiting
+        if is_unknown or now >= holding.dry_until:
             return RateExceeded(
                 ErrorCode.LIMIT_UNKNOWN,
                 "no share of the team's rate is to be had now",
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -185,6 +185,8 @@
     end = clock.now + limits.slice_term_seconds + grace
     while clock.now < end:
         granted = successor.answer(ask_of(holder, clock), TEAM, clock.now)
+        # What can't be had yet is no sign that the team is over its rate.
+        assert granted.is_waiting
         assert granted.added_units == granted.added_tokens == 0
         holder.credit(granted, TEAM, clock.now)
         assert holder.units == held
