Go on with keyed work without the store where the deployment allows it

Cause: the policy for outages was read from the settings and nothing went by it, so where withdrawal is not strict keyed requests were refused all the same. test_keyed_work_goes_on_without_the_store_where_that_is_allowed failed first (503).

--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -149,7 +149,7 @@
 
         Where no lease is ever extended, waiting out its term is enough.
         """
-        if self._context.settings.lease.outage is not OutagePolicy.MAJORITY:
+        if self._context.settings.lease.outage is OutagePolicy.STOP:
             return True
         sights = await self._ask_sample()
         return is_reached_by_majority(sights, for_seconds)
@@ -239,15 +239,15 @@
         return True
 
     async def _extend(self) -> None:
-        """Extend an unbroken lease if most of a sample lack the store too."""
+        """Extend an unbroken lease as the policy for outages says."""
         lease = self._context.lease
-        if self._context.settings.lease.outage is not OutagePolicy.MAJORITY:
-            return
-        if not lease.is_valid:
+        policy = self._context.settings.lease.outage
+        if policy is OutagePolicy.STOP or not lease.is_valid:
             return
         asked_at = self._context.clock()
-        if not is_away_for_majority(await self._ask_sample()):
-            return
+        if policy is OutagePolicy.MAJORITY:
+            if not is_away_for_majority(await self._ask_sample()):
+                return
         if lease.extend(asked_at) and self.on_extended is not None:
             term = self._context.settings.lease.term_seconds
             self.on_extended(asked_at, asked_at + term)
--- a/tests/platform_adapter/test_platform_path.py
+++ b/tests/platform_adapter/test_platform_path.py
@@ -35,6 +35,8 @@
 
     def __init__(self, tmp_path):
         self.tmp_path = tmp_path
+        self.is_strict = True
+        """Whether keyed work stops without evidence."""
         self.platform = StandInPlatform()
         self.store_address = free_address()
         self.settings = []
@@ -62,6 +64,8 @@
 
     def _settings_text(self, index, target):
         text = SETTINGS.replace('"vm-1"', f'"vm-{index}"')
+        if not self.is_strict:
+            text = text.replace("RevokeStrict=true", "RevokeStrict=false")
         text = text.replace("10.1.0.11:8363", str(target))
         for port in (8365, 8366, 8367, 8369):
             text = text.replace(f"10.1.0.11:{port}", str(free_address()))
@@ -139,9 +143,10 @@
 
 @pytest.fixture
 def run_platform_fleet(tmp_path):
-    def run(scenario, is_configured=True):
+    def run(scenario, is_configured=True, is_strict=True):
         async def main():
             fleet = PlatformFleet(tmp_path)
+            fleet.is_strict = is_strict
             if is_configured:
                 fleet.platform.put("config", "main", CONFIGURATION)
             async with curio.timeout_after(TEST_SECONDS):
@@ -308,3 +313,20 @@
         assert await fleet.ready(0) == 200
 
     run_platform_fleet(scenario)
+
+
+def test_keyed_work_goes_on_without_the_store_where_that_is_allowed(
+    run_platform_fleet,
+):
+    """The policy was read from the settings, and nothing went by it."""
+
+    async def scenario(fleet):
+        assert (await fleet.call())[1].status == 200
+        fleet.platform.faults = PlatformFaults(refusal=503)
+        terms = [daemon.context.settings.lease.term_seconds for daemon in fleet.daemons]
+        await curio.sleep(max(terms) + 1.0)
+        for index in (0, 1):  # Targets that report no more are taken as gone.
+            await fleet.report(index)
+        assert (await fleet.call())[1].status == 200
+
+    run_platform_fleet(scenario, is_strict=False)
