--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -182,9 +182,7 @@
         if is_other_instance:
             extra = {"target": self.announced.name}
             _LOG.warning("TargetReplaced", extra=extra)
-        self.failures.note(True, self.clock())
-        self.health.note_failure(self.clock())
-        self.ramp.note_bad()
+        self._note_failed()
 
     def note_trouble(
         self, code: ErrorCode, has_started: bool, head_seconds: float | None
@@ -200,8 +198,12 @@
             return  # A long answer is not the target's failure.
         if not has_started and code is not ErrorCode.TARGET_REFUSED:
             return
-        self.failures.note(True, self.clock())
-        self.health.note_failure(self.clock())
+        self._note_failed()
+
+    def _note_failed(self) -> None:
+        now = self.clock()
+        self.failures.note(True, now)
+        self.health.note_failure(now)
         self.ramp.note_bad()
 
     def note_outcome(self, item: QueuedAttempt, code: str, seconds: float) -> None:
