--- a/packages/core/src/bramleyglade_core/decisions/failure_filter.py
+++ b/packages/core/src/bramleyglade_core/decisions/failure_filter.py
@@ -4,9 +4,9 @@
 
 import math
 
-_ILL_FAILURE_SHARE = 0.7
-"""Share of requests that an ill target fails; noisy targets of the users' days
-fail three in four (fleetbench run vdh-sync quiet-1)."""
+_ILL_FAILURE_SHARE = 0.55
+"""Share of requests that an ill target fails; those of the users' days fail
+between two in five and three in four (`fails` and `x` in the site files)."""
 
 _WELL_FAILURE_SHARE = 0.02
 """Share of requests that a well target fails; the same days show 1.2 in 100."""
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -43,8 +43,12 @@
 _TRIAL_SHARE = 0.15
 """Share of repeatable requests that may go to a doubted target."""
 
-_MOST_TRIAL_RISK = 0.4
-"""Risk above which a target is not tried; it falls below some 3 s after a failure."""
+_LEAST_TRIAL_RISK = 0.08
+_MOST_TRIAL_RISK = 0.33
+"""Risks between which a target is tried; they are reached some 3 s after a failure."""
+
+_TRIAL_SECONDS = 1.0
+"""Wait that a trial is worth, so that it goes to a doubted target if there is one."""
 
 _UNKNOWN_RISK = 0.2
 """Risk up to which a target is taken of which this front knows nothing."""
@@ -270,7 +274,7 @@
 
     def _risk(self, view: TargetView, terms: PickTerms) -> float:
         risk = faded_risk(view.risk, terms.now - view.told_at)
-        if terms.is_trial and risk < _MOST_TRIAL_RISK:
-            return 0.0
+        if terms.is_trial and _LEAST_TRIAL_RISK < risk < _MOST_TRIAL_RISK:
+            return -_TRIAL_SECONDS
         loss = _RETRIED_FAILURE_SECONDS if terms.may_repeat else _FAILURE_SECONDS
         return risk * loss
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -227,8 +227,22 @@
         if judged.is_not_run:
             self._runner.note_shed(judged.is_other_instance)
             raise AttemptRefused(ErrorCode.TARGET_SHED, judged.detail)
+        if judged.is_failure:
+            self._log_failure(item, started.status)
         self._runner.note_head(self.head_seconds, judged.is_failure)
 
+    def _log_failure(self, item: QueuedAttempt, status: int) -> None:
+        assert self.head_seconds is not None
+        extra = {
+            "request": item.offered.request_id,
+            "target": self._runner.announced.name,
+            "status": status,
+            "seconds": round(self.head_seconds, 4),
+            "risk": round(self._runner.failures.risk(self._runner.clock()), 3),
+            "most_risk": round(item.offered.most_risk, 3),
+        }
+        _LOG.info("TargetAnsweredWithFailure", extra=extra)
+
     async def _release(
         self, connection: ClientConnection, upload: curio.Task | None
     ) -> None:
