Tell failures to all linked fronts, spread over targets that are alike, log each request

Change: own targets are looked at with each pick; a failure is told to all linked fronts; only first attempts try doubted targets; one of the targets that cost nearly the same is drawn.

--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -19,7 +19,7 @@
 _MOST_COMPARED = 32
 """Targets compared for each pick; of more than that a sample is taken."""
 
-_OTHER_ZONE_SECONDS = 0.05
+_OTHER_ZONE_SECONDS = 0.08
 """Wait that a target in another zone is charged, since bytes between zones cost."""
 
 _OTHER_ZONE_BODY_SECONDS = 0.25
@@ -37,8 +37,10 @@
 _RETRIED_FAILURE_SECONDS = 1.0
 """The same where another attempt may follow."""
 
-_JITTER_SECONDS = 0.01
-"""Fronts with the same view must not all choose the same target."""
+_ALIKE_SECONDS = 0.06
+"""Difference in waits that fronts overlook. Views are seconds old where a front sends
+a target a few requests a second; fronts that all took the best one would meet there,
+and the others would get nothing. It is less than the wait behind one full target."""
 
 _TRIAL_SHARE = 0.15
 """Share of repeatable requests that may go to a doubted target."""
@@ -91,9 +93,11 @@
     """Time of this process's clock, in seconds."""
     may_repeat: bool = True
     """Whether another attempt may follow a failed one."""
+    may_try: bool = True
+    """Whether the request may be one that tries a doubted target."""
     has_body: bool = False
     is_trial: bool = False
-    """Whether the request may go to a target that is doubted."""
+    """Whether the request does try a doubted target."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,7 +150,7 @@
         few = candidates
         if len(candidates) > _MOST_COMPARED:
             few = self._random.sample(candidates, _MOST_COMPARED)
-        if terms.may_repeat and self._random.random() < _TRIAL_SHARE:
+        if terms.may_try and self._random.random() < _TRIAL_SHARE:
             # Somebody has to find out that a doubted target is well again.
             terms = replace(terms, is_trial=True)
         best = self._cheapest(few, tried, terms)
@@ -237,8 +241,11 @@
         tried: Container[TargetId],
         terms: PickTerms,
     ) -> Candidate | None:
-        untried = [c for c in candidates if c.target not in tried]
-        return min(untried, key=lambda c: self._cost(c, terms), default=None)
+        costs = [(self._cost(c, terms), c) for c in candidates if c.target not in tried]
+        if not costs:
+            return None
+        most = min(cost for cost, _ in costs) + _ALIKE_SECONDS
+        return self._random.choice([c for cost, c in costs if cost <= most])
 
     def _cost(self, candidate: Candidate, terms: PickTerms) -> float:
         """Return what a request would lose at a target, in seconds of waiting."""
@@ -255,7 +262,6 @@
             self._wait(view, own)
             + self._distance(candidate, terms)
             + self._risk(view, terms)
-            + self._random.random() * _JITTER_SECONDS
         )
 
     def _wait(self, view: TargetView, own: int) -> float:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -30,6 +30,10 @@
 _IDLE_SECONDS = 30.0
 """Time without use after which a link that is not kept anyway is closed."""
 
+_MOST_TOLD = 64
+"""Peers that are told of a failure at once; the others hear of it with heartbeats or
+answers. A message costs some 50 us to write, so this bounds it at some 3 ms."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -127,6 +131,17 @@
             if link.peer.daemon.name != beside and self.is_neighbour(link):
                 await link.tell(message)
 
+    async def tell_linked(self, message: Any) -> None:
+        """Send a message to all peers with an open link, or to some if they are many.
+
+        Peers that send requests here, or may get some from here, have a link.
+        """
+        links = self.open_links()
+        if len(links) > _MOST_TOLD:
+            links = self._context.random.sample(links, _MOST_TOLD)
+        for link in links:
+            await link.tell(message)
+
     def is_neighbour(self, link: Link) -> bool:
         """Tell whether a link is one that this daemon keeps for its own sake."""
         return link.peer is not None and link.peer.daemon.name in self.neighbours
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -41,6 +41,7 @@
     new_request_id,
     timeout_of,
 )
+from bramleyglade_daemon.front.request_log import OK, RequestLog
 
 if TYPE_CHECKING:
     from curio.io import Socket
@@ -58,7 +59,7 @@
 _HELD_BYTES = 65_536
 """Largest answer that is held back until it is whole."""
 
-_OK = "ok"
+_CALLER_GONE = "caller-gone"
 _LINGER_OFF = struct.pack("ii", 1, 0)
 
 _LOG = logging.getLogger(__name__)
@@ -149,41 +150,31 @@
             return await self._connection.receive_request()
 
     async def _serve(self, head: RequestHead) -> None:
-        started_at = self._context.clock()
-        request_id = new_request_id(self._context.random)
+        log = RequestLog(new_request_id(self._context.random), self._context.clock())
         traceparent = head.header("traceparent")
         if traceparent:
             traceparent = traceparent_of({"traceparent": traceparent})
         hop = self._context.telemetry.start_hop("front", traceparent, is_root=True)
-        code, verdict, detail = _OK, Verdict.RAN, ""
         try:
             terms = self._context.dialect.read_caller(head.headers)
-            request_id = terms.request_id or request_id
-            request = await self._admit(head, terms, request_id, hop)
-            await self._run(request, hop)
+            log.request_id = terms.request_id or log.request_id
+            request = await self._admit(head, terms, log)
+            await self._run(request, hop, log)
         except FleetError as error:
-            code, verdict, detail = error.code.value, error.verdict, error.detail
-            await self._refuse(error, request_id)
+            log.note_error(error)
+            await self._refuse(error, log.request_id)
         except BaseException:
-            code = "caller-gone"
+            log.code = _CALLER_GONE
             raise
         finally:
-            hop.note("code", code)
+            hop.note("code", log.code)
             hop.end()
-            seconds = self._context.clock() - started_at
-            self._context.telemetry.note_request(code, verdict.value, seconds)
-            if code != _OK:
-                extra = {
-                    "request": request_id,
-                    "code": code,
-                    "verdict": verdict.value,
-                    "why": detail,
-                    "seconds": round(seconds, 4),
-                }
-                _LOG.info("RequestFailed", extra=extra)
+            seconds = self._context.clock() - log.started_at
+            self._context.telemetry.note_request(log.code, log.verdict.value, seconds)
+            log.write(seconds)
 
     async def _admit(
-        self, head: RequestHead, terms: CallerTerms, request_id: str, hop: Hop
+        self, head: RequestHead, terms: CallerTerms, log: RequestLog
     ) -> AdmittedRequest:
         arrived_at = self._context.clock()
         check_headers(head.headers)
@@ -199,31 +190,34 @@
         host = head.header("host").partition(":")[0].lower()
         route = configuration.router.match(head.method, path, host)
         is_valid = self._context.lease.is_valid
+        log.note_terms(self._context.view.revision, route)
         team = authenticate(configuration, route, terms.key, is_valid)
+        log.note_terms(self._context.view.revision, route, team)
         if team is not None and not team.is_unlimited:
             await self._front.limiter.admit(team)
         service_name = self._context.splitter.choose(route)
         service = configuration.service_by_name.get(service_name)
         if service is None:
             raise AttemptRefused(ErrorCode.NO_TARGET, "the route's service is gone")
-        hop.note("route", route.name)
+        log.note_service(service.name)
         team_name = team.name if team is not None else ""
-        forwarded = ForwardedTerms(request_id, team_name)
+        forwarded = ForwardedTerms(log.request_id, team_name)
         return AdmittedRequest(
             head=head,
             route=route,
             service=service,
             team=team_name,
-            request_id=request_id,
+            request_id=log.request_id,
             deadline=arrived_at + timeout_of(terms, route, service),
             headers=self._context.dialect.forward(head.headers, forwarded),
             priority=_priority(route, team),
             arrived_at=arrived_at,
         )
 
-    async def _run(self, request: AdmittedRequest, hop: Hop) -> None:
+    async def _run(self, request: AdmittedRequest, hop: Hop, log: RequestLog) -> None:
         feeder = BodyFeeder(self._connection)
-        attempts = self._front.dispatcher.start(request, feeder, hop)
+        hop.note("route", request.route.name)
+        attempts = self._front.dispatcher.start(request, feeder, hop, log)
         try:
             while True:
                 failed = await self._try_once(attempts, request)
@@ -263,7 +257,7 @@
         if isinstance(event, AttemptFailed):
             return event
         assert isinstance(event, AnswerStarted)
-        attempts.note_answer()
+        attempts.note_answer(event.status)
         # A small answer is held until it is whole: it goes out in one write,
         # and one that breaks off can still be tried again.
         held = bytearray()
@@ -345,7 +339,7 @@
 
     def _start_answer(self, started: AnswerStarted, request: AdmittedRequest) -> None:
         dialect = self._context.dialect
-        own = dialect.outcome_headers(Verdict.RAN, _OK, request.request_id)
+        own = dialect.outcome_headers(Verdict.RAN, OK, request.request_id)
         names = {header.name for header in own}
         headers = [*(h for h in started.headers if h.name not in names), *own]
         if self._front.invites_to_leave:
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -31,6 +31,7 @@
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.front.guard_ports import GuardPorts
     from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
+    from bramleyglade_daemon.front.request_log import RequestLog
 
 _ARRIVED_CODES = frozenset({ErrorCode.TARGET_SHED})
 """Refusals of a target itself. Others of what has not run came from a guard, or from
@@ -68,11 +69,17 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._last_request = 0
 
-    def start(self, request: AdmittedRequest, feeder: BodyFeeder, hop: Hop) -> Attempts:
+    def start(
+        self,
+        request: AdmittedRequest,
+        feeder: BodyFeeder,
+        hop: Hop,
+        log: RequestLog,
+    ) -> Attempts:
         """Begin the attempts of a request."""
         self._last_request += 1
         self._budget(request).note_first_attempt()
-        return Attempts(self, request, feeder, hop, self._last_request)
+        return Attempts(self, request, feeder, hop, log, self._last_request)
 
     @property
     def context(self) -> Context:
@@ -96,6 +103,10 @@
         budget.share_floor(len(self._context.directory.record_by_name))
         return budget
 
+    def note_own_targets(self) -> None:
+        """Take in the load of the targets on this VM, which costs no message."""
+        self._ports.note_own_targets()
+
     def candidates(self, request: AdmittedRequest) -> list[Candidate]:
         """Return the targets that a request may go to now."""
         configuration = self._context.configuration
@@ -111,6 +122,7 @@
         request: AdmittedRequest,
         feeder: BodyFeeder,
         hop: Hop,
+        log: RequestLog,
         number: int,
     ) -> None:
         self._dispatcher = dispatcher
@@ -118,6 +130,7 @@
         self._request = request
         self._feeder = feeder
         self._hop = hop
+        self._log = log
         self._number = number
         self._count = 0
         self._misrouted = 0
@@ -145,6 +158,7 @@
         self._candidate = candidate
         self._tried.add(candidate.target)
         self._context.picker.note_sent(candidate.target)
+        self._log.note_attempt(candidate.target)
         self._offered = self._make_offer(pick)
         self._port = self._dispatcher.port(candidate)
         self._count += 1
@@ -203,8 +217,9 @@
         if self.stream is not None:
             await self._feeder.watch_caller(self.stream)
 
-    def note_answer(self) -> None:
+    def note_answer(self, status: int) -> None:
         """Take in that the target has answered this front."""
+        self._log.note_status(status)
         if self._candidate is not None:
             self._context.picker.trust(self._candidate.target)
 
@@ -284,6 +299,7 @@
 
     def _attempt_timeout(self) -> float | None:
         """Return the time for this attempt; None if it must run to its end."""
+        # The attempt under way is counted already.
         is_last = self._count - self._misrouted >= self._most_attempts
         if not self._request.is_idempotent or self._feeder.is_spent or is_last:
             return None
@@ -292,6 +308,11 @@
         left = self._request.deadline - self._context.clock()
         return attempt_timeout(left, view.log_latency if view else None)
 
+    @property
+    def _is_last(self) -> bool:
+        """Whether no attempt may follow the one that is picked now."""
+        return self._count - self._misrouted + 1 >= self._most_attempts
+
     @property
     def _most_attempts(self) -> int:
         configured = self._request.route.max_attempts
@@ -303,11 +324,14 @@
 
     def _pick(self) -> Pick:
         candidates = self._dispatcher.candidates(self._request)
+        may_repeat = self._request.is_idempotent and not self._is_last
         terms = PickTerms(
             now=self._context.clock(),
-            may_repeat=self._request.is_idempotent,
+            may_repeat=may_repeat,
+            may_try=may_repeat and self._count == 0,
             has_body=self._request.head.has_body,
         )
+        self._dispatcher.note_own_targets()
         pick = self._context.picker.pick(candidates, self._tried, terms)
         if pick is None:
             raise AttemptRefused(
--- a/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
@@ -18,6 +18,7 @@
     from bramleyglade_core.ports.streams import AttemptPort
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.peers import Peers
+    from bramleyglade_daemon.guard.guard import LocalGuardPort
 
 
 class RemoteGuardPort:
@@ -74,11 +75,15 @@
 class GuardPorts:
     """Finds the port of a guard by its daemon's name."""
 
-    def __init__(self, context: Context, peers: Peers, local: AttemptPort) -> None:
+    def __init__(self, context: Context, peers: Peers, local: LocalGuardPort) -> None:
         self._context = context
         self._peers = peers
         self._local = local
 
+    def note_own_targets(self) -> None:
+        """Have this front know the load of the targets on its own VM."""
+        self._local.note_targets()
+
     def find(self, name: str) -> AttemptPort:
         """Return the port of a guard, as the directory knows it now."""
         if name == self._context.settings.name:
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/request_log.py
@@ -0,0 +1,82 @@
+"""What a front writes of each request: how it ended, and what decided it."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from bramleyglade_core.model.verdict import Verdict
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from bramleyglade_core.model.entities import Route, Team
+    from bramleyglade_core.model.errors import FleetError
+    from bramleyglade_core.model.identifiers import TargetId
+
+OK = "ok"
+"""Code of a request that was answered by a target."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class RequestLog:
+    """Gathers what is known of one request, and writes one line at its end."""
+
+    def __init__(self, request_id: str, started_at: float) -> None:
+        self.request_id = request_id
+        self.started_at = started_at
+        """Time of this process's clock, in seconds."""
+        self.code = OK
+        self.verdict = Verdict.RAN
+        self._fields: dict[str, Any] = {}
+        self._attempts: list[str] = []
+
+    def note_terms(self, revision: int, route: Route, team: Team | None = None) -> None:
+        """Note what the configuration in force says of the request.
+
+        Args:
+            revision: Revision of the store that is in force here.
+            route: Route of the request.
+            team: Team that it runs for; None if it is open to all or not known yet.
+        """
+        self._fields["revision"] = revision
+        self._fields["route"] = route.name
+        if team is not None:
+            self._fields["team"] = team.name
+
+    def note_service(self, name: str) -> None:
+        """Note the service that was chosen for the request."""
+        self._fields["service"] = name
+
+    def note_attempt(self, target: TargetId) -> None:
+        """Note that the request was offered to a target."""
+        self._attempts.append(target.name)
+
+    def note_status(self, status: int) -> None:
+        """Note the status of the target's answer."""
+        self._fields["status"] = status
+
+    def note_error(self, error: FleetError) -> None:
+        """Note that the request was refused or failed."""
+        self.code = error.code.value
+        self.verdict = error.verdict
+        self._fields["why"] = error.detail
+
+    def write(self, seconds: float) -> None:
+        """Write the line.
+
+        Args:
+            seconds: Time that the request took.
+        """
+        extra = {
+            "request": self.request_id,
+            "code": self.code,
+            "verdict": self.verdict.value,
+            "seconds": round(seconds, 4),
+            **self._fields,
+        }
+        if self._attempts:
+            extra["targets"] = ",".join(self._attempts)
+        event = "RequestAnswered" if self.code == OK else "RequestFailed"
+        _LOG.info(event, extra=extra)
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -8,7 +8,7 @@
 
 from bramleyglade_core.decisions.share_holding import ShareHolding
 from bramleyglade_core.model.errors import ErrorCode, KeyRefused, RateExceeded
-from bramleyglade_core.model.shares import HoldingsTold
+from bramleyglade_core.model.shares import SHARE_UNITS, HoldingsTold
 
 if TYPE_CHECKING:
     from bramleyglade_core.model.entities import Team
@@ -59,7 +59,7 @@
         if self._try_spend(share, team):
             return
         if share.waiting >= _MOST_WAITING:
-            raise self._refusal(share)
+            raise self._refusal(share, team)
         share.waiting += 1
         try:
             wait = self._context.settings.limits.answer_wait_seconds
@@ -68,7 +68,7 @@
                     return
         finally:
             share.waiting -= 1
-        raise self._refusal(share)
+        raise self._refusal(share, team)
 
     async def run(self) -> None:
         """Renew shares when they are due, for ever."""
@@ -178,19 +178,23 @@
         if must_return:
             await self._ask(share, team)
 
-    def _refusal(self, share: _TeamShare) -> RateExceeded:
+    def _refusal(self, share: _TeamShare, team: Team) -> RateExceeded:
         now = self._context.clock()
         holding = share.holding
+        inputs = (
+            f"{team.rate:g}/s and a burst of {team.burst}, of which this VM holds "
+            f"{holding.units / SHARE_UNITS:.3f} with {holding.level:.2f} left"
+        )
         wait = max(0.1, holding.dry_until - now)
         is_unknown = not holding.is_keeper_heard or holding.is_keeper_waiting
         if is_unknown or now >= holding.dry_until:
             return RateExceeded(
                 ErrorCode.LIMIT_UNKNOWN,
-                "no share of the team's rate is to be had now",
+                f"no keeper grants more of the team's {inputs}",
                 retry_after=wait,
             )
         return RateExceeded(
             ErrorCode.RATE_EXCEEDED,
-            "the team has used up its rate and burst",
+            f"the team has used up its {inputs}",
             retry_after=wait,
         )
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -47,6 +47,8 @@
         self._order = ReportOrder()
         self.on_changed: Callable[[], Awaitable[None]] | None = None
         """Called when the set of targets, or one of them, has changed."""
+        self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
+        """Called when a target has failed, so that other fronts avoid it too."""
 
     @property
     def running(self) -> int:
@@ -93,6 +95,7 @@
             runner = TargetRunner(
                 announced, self._context, self.attempts, self.outcomes
             )
+            runner.on_doubted = self.on_doubted
             self.runner_by_name[announced.name] = runner
         elif runner.announced.is_draining and not is_restart:
             return  # Draining is for good; only a new instance takes work again.
@@ -156,8 +159,12 @@
             for runner in self.runner_by_name.values():
                 runner.health.service_log_latency = self._service_log_latency(runner)
                 runner.look_for_overdue()
-            name = self._context.settings.name
-            self._context.picker.take_views(name, self.views(), now)
+            self.note_targets()
+
+    def note_targets(self) -> None:
+        """Tell the front in this process the load and health of all targets."""
+        name = self._context.settings.name
+        self._context.picker.take_views(name, self.views(), self._context.clock())
 
     async def close(self) -> None:
         """Give back all waiting work."""
@@ -211,6 +218,10 @@
         await self._guard.accept(offered, guard_end)
         return front
 
+    def note_targets(self) -> None:
+        """Have the front know the load and health of the targets here."""
+        self._guard.note_targets()
+
     async def ask_outcome(self, offered: AttemptOffered) -> FrontStream:
         """Ask what became of an attempt."""
         front, guard_end = join_locally(self._window)
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -20,6 +20,8 @@
 from bramleyglade_daemon.guard.target_worker import TargetWorker
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.attempt_table import AttemptTable
     from bramleyglade_core.model.announcements import TargetAnnouncement
@@ -33,6 +35,10 @@
 _LEAST_WORK_SHARE = 1.0
 """Part of the usual time of an exchange below which it is not begun any more."""
 
+_DOUBT_PAUSE_SECONDS = 0.2
+"""Time between two words to all fronts that a target fails; one failure moves the
+estimate most, so the ones right after it need not be told."""
+
 _TRIALS_AT_ONCE = 1
 """Requests that a target on trial runs at once."""
 
@@ -70,6 +76,10 @@
         self._overdue_level_by_worker: dict[TargetWorker, int] = {}
         self.last_traffic_at = -math.inf
         self.reported_instance = ""
+        self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
+        """Called with the target's view when it has failed."""
+        self._has_failed = False
+        self._doubted_at = -math.inf
 
     @property
     def busy(self) -> int:
@@ -168,6 +178,7 @@
         self.last_traffic_at = now
         self.failures.note(is_error, now)
         if is_error:
+            self._has_failed = True
             self.health.note_failure(now)
             return
         self.health.note_answer(seconds, now)
@@ -202,10 +213,21 @@
 
     def _note_failed(self) -> None:
         now = self.clock()
+        self._has_failed = True
         self.failures.note(True, now)
         self.health.note_failure(now)
         self.ramp.note_bad()
 
+    async def tell_doubt(self) -> None:
+        """Tell the fronts if the target has just failed."""
+        now = self.clock()
+        if not self._has_failed or now - self._doubted_at < _DOUBT_PAUSE_SECONDS:
+            return
+        self._has_failed = False
+        self._doubted_at = now
+        if self.on_doubted is not None:
+            await self.on_doubted(self.view())
+
     def note_outcome(self, item: QueuedAttempt, code: str, seconds: float) -> None:
         """Count an exchange that has ended."""
         self._context.telemetry.note_attempt(item.offered.service, code, seconds)
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -195,6 +195,7 @@
             part = await connection.receive()
             if isinstance(part, AnswerStarted):
                 self._judge(part, item)
+                await self._runner.tell_doubt()
                 part = AnswerStarted(part.status, end_to_end_headers(part.headers))
             if is_recorded:
                 recorder.note(part)
@@ -263,6 +264,7 @@
         if error.code is not ErrorCode.TARGET_SHED:
             await self._fail(item, error.code, error.detail)
             return
+        await self._runner.tell_doubt()
         await self._drop_connection()
         await self._runner.note_not_run(item)
         try:
@@ -280,6 +282,7 @@
             verdict = Verdict.NOT_RUN
         if code is not ErrorCode.ATTEMPT_CANCELLED:
             self._runner.note_trouble(code, has_started, self.head_seconds)
+            await self._runner.tell_doubt()
         if has_started:
             await self._runner.note_lost_answer(item)
         try:
--- a/tests/platform_adapter/test_platform_path.py
+++ b/tests/platform_adapter/test_platform_path.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import logging
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 
 from bramleyglade_adapters.http.simple_client import SimpleClient
 from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.model.identifiers import TargetId
 from bramleyglade_daemon.program import make_daemon
 from bramleyglade_platform.__main__ import PlatformProgram
 from bramleyglade_platform.platform_settings import load_platform_settings
@@ -330,3 +332,84 @@
         assert (await fleet.call())[1].status == 200
 
     run_platform_fleet(scenario, is_strict=False)
+
+
+def test_failure_is_told_to_fronts_that_have_not_seen_it(run_platform_fleet):
+    """Each front had to fail at a target itself before it knew of the failure."""
+
+    async def scenario(fleet):
+        await fleet.until(
+            lambda: all(d.peers.open_links() for d in fleet.daemons),
+        )
+        fleet.targets[0].behaviour = replace(
+            fleet.targets[0].behaviour, failure_status=500
+        )
+        while (await fleet.call(0))[1].status == 200:
+            pass
+        failing = TargetId(fleet.daemons[0].context.settings.name, "i-0")
+        picker = fleet.daemons[1].context.picker
+
+        def is_doubted():
+            view = picker.view_by_target.get(failing)
+            return view is not None and view.risk > 0.2
+
+        await fleet.until(is_doubted)
+
+    run_platform_fleet(scenario)
+
+
+def test_full_target_of_this_vm_is_not_asked_again_and_again(run_platform_fleet):
+    """The view of the front's own VM was half a second old."""
+
+    async def scenario(fleet):
+        for target in fleet.targets:
+            target.behaviour = replace(target.behaviour, work_seconds=0.4)
+        calls = [await curio.spawn(fleet.call, 0) for _ in range(8)]
+        answers = [(await task.join())[1].status for task in calls]
+        assert answers == [200] * 8
+        assert [len(target.seen) for target in fleet.targets] == [4, 4]
+
+    run_platform_fleet(scenario)
+
+
+def test_request_leaves_one_line_that_says_what_decided_it(run_platform_fleet, caplog):
+    async def scenario(fleet):
+        caplog.set_level(logging.INFO)
+        served = (await fleet.call())[0]
+        refused = (await fleet.call(key="unknown"))[0]
+        line_by_request = {
+            record.request: record
+            for record in caplog.records
+            if record.getMessage() in ("RequestAnswered", "RequestFailed")
+        }
+        line = line_by_request[served]
+        assert (line.code, line.verdict, line.status) == ("ok", "ran", 200)
+        assert (line.team, line.route, line.service) == (
+            "studio",
+            "r-issue",
+            "catalogue",
+        )
+        assert line.targets.split(",")[-1] in ("i-0", "i-1")
+        assert line.revision == fleet.daemons[0].context.view.revision
+        line = line_by_request[refused]
+        assert (line.code, line.verdict) == ("key-unknown", "not-run")
+        assert line.route == "r-issue"
+
+    run_platform_fleet(scenario)
+
+
+def test_refusal_for_a_rate_names_the_rate_and_what_is_held(run_platform_fleet, caplog):
+    async def scenario(fleet):
+        caplog.set_level(logging.INFO)
+        tenants = {"studio": {"ApiKeys": ["k1"], "RatePerS": 1, "Burst": 1}}
+        version = {**CONFIGURATION, "Version": "r8", "Tenants": tenants}
+        fleet.platform.put("config", "main", version)
+        await fleet.until(
+            lambda: fleet.daemons[0].context.configuration.whole_ticket == 8
+        )
+        statuses = [(await fleet.call())[1].status for _ in range(4)]
+        assert 429 in statuses
+        lines = [r for r in caplog.records if getattr(r, "code", "") == "rate-exceeded"]
+        assert "1/s and a burst of 1" in lines[0].why
+
+    run_platform_fleet(scenario)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import random
+from collections import Counter
 from dataclasses import replace
 
 import curio
@@ -155,3 +157,41 @@
         picker.pick(candidates, frozenset(), terms).candidate.target for _ in range(100)
     }
     assert len(picked) == 2
+
+
+def test_only_a_request_that_may_be_repeated_tries_a_doubted_target():
+    """Retries went to doubted targets too, and failed for good there."""
+    directory = Directory()
+    picker = Picker("z0", random.Random(1))
+    for number, risk in ((0, 0.3), (2, 0.02)):
+        directory.merge(record(number))
+        view = TargetViewTold(f"t{number}", "s", 4, 0, False, False, risk=risk)
+        picker.take_views(f"vm-{number}", [view], 0.0)
+    candidates = directory.candidates("s")
+
+    def picked(terms):
+        picks = (picker.pick(candidates, frozenset(), terms) for _ in range(200))
+        return {pick.candidate.target.daemon for pick in picks}
+
+    assert picked(PickTerms(0.0)) == {"vm-0", "vm-2"}
+    assert picked(PickTerms(0.0, may_try=False)) == {"vm-2"}
+
+
+def test_fronts_with_one_view_spread_over_targets_that_are_nearly_alike():
+    """All took the best of some old views, and the other targets got nothing."""
+    directory = Directory()
+    for number in range(0, 12, 2):
+        directory.merge(record(number))
+    candidates = directory.candidates("s")
+    picked = Counter()
+    for front in range(120):
+        picker = Picker("z0", random.Random(front))
+        for number in range(0, 12, 2):
+            latency = math.log(0.2 + 0.005 * number)
+            view = TargetViewTold(f"t{number}", "s", 4, 0, False, False, latency)
+            picker.take_views(f"vm-{number}", [view], 0.0)
+        terms = PickTerms(0.0, may_repeat=False, may_try=False)
+        pick = picker.pick(candidates, frozenset(), terms)
+        picked[pick.candidate.target.daemon] += 1
+    assert len(picked) == 6
+    assert max(picked.values()) <= 2 * 120 / 6
