--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -186,6 +186,7 @@
   mostRisk @14 :Float64;
   objectiveSeconds @15 :Float64;
   sentAt @16 :Float64;
+  isRepeat @17 :Bool;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -29,7 +30,7 @@
 """Wait that a target is charged as its slots fill; some slow down then."""
 
 _UNKNOWN_SECONDS = 0.25
-"""Time that an exchange takes at a target of which nothing is known."""
+"""Time that an exchange takes at a service of which nothing is known."""
 
 _FAILURE_SECONDS = 3.0
 """Wait that a certain failure is worth avoiding for."""
@@ -154,7 +155,7 @@
             # Somebody has to find out that a doubted target is well again.
             terms = replace(terms, is_trial=True)
         best = self._cheapest(few, tried, terms)
-        if best is None or self._cost(best, terms) == math.inf:
+        if best is None or self._is_out(best, terms):
             best = self._cheapest(candidates, tried, terms)
         if best is None:
             return None
@@ -241,31 +242,53 @@
         tried: Container[TargetId],
         terms: PickTerms,
     ) -> Candidate | None:
-        costs = [(self._cost(c, terms), c) for c in candidates if c.target not in tried]
+        typical = self.typical_seconds(candidates) or _UNKNOWN_SECONDS
+        costs = [
+            (self._cost(c, terms, typical), c)
+            for c in candidates
+            if c.target not in tried
+        ]
         if not costs:
             return None
         most = min(cost for cost, _ in costs) + _ALIKE_SECONDS
         return self._random.choice([c for cost, c in costs if cost <= most])
 
-    def _cost(self, candidate: Candidate, terms: PickTerms) -> float:
+    def typical_seconds(self, candidates: Iterable[Candidate]) -> float | None:
+        """Return the usual latency over some targets; None if none is known."""
+        known = []
+        for candidate in candidates:
+            view = self.view_by_target.get(candidate.target)
+            if view is not None and view.log_latency is not None:
+                known.append(view.log_latency)
+        return math.exp(statistics.median(known)) if known else None
+
+    def _cost(self, candidate: Candidate, terms: PickTerms, typical: float) -> float:
         """Return what a request would lose at a target, in seconds of waiting."""
-        avoidance = self._avoidance_by_target.get(candidate.target)
-        if avoidance is not None and terms.now < avoidance.until:
+        if self._is_out(candidate, terms):
             return math.inf
         own = self._own_by_target.get(candidate.target, 0)
         view = self.view_by_target.get(candidate.target)
         if view is None:
             view = TargetView(candidate.announcement.slots, own)
-        if view.is_ejected or (view.is_trial and own > 0):
-            return math.inf
         return (
-            self._wait(view, own)
+            self._wait(view, own, typical)
             + self._distance(candidate, terms)
             + self._risk(view, terms)
         )
 
-    def _wait(self, view: TargetView, own: int) -> float:
-        latency = _UNKNOWN_SECONDS
+    def _is_out(self, candidate: Candidate, terms: PickTerms) -> bool:
+        """Tell whether a target is taken only where there is no other."""
+        avoidance = self._avoidance_by_target.get(candidate.target)
+        if avoidance is not None and terms.now < avoidance.until:
+            return True
+        view = self.view_by_target.get(candidate.target)
+        if view is None:
+            return False
+        own = self._own_by_target.get(candidate.target, 0)
+        return view.is_ejected or (view.is_trial and own > 0)
+
+    def _wait(self, view: TargetView, own: int, typical: float) -> float:
+        latency = typical
         if view.log_latency is not None:
             latency = math.exp(view.log_latency)
         limit = max(1, view.limit)
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -160,6 +160,8 @@
     retry_floor: float | None = None
     """Retries that all daemons together have beside that share; None if each
     has a store of its own."""
+    retry_window_seconds: float = 10.0
+    """Time in which retries are counted against that share."""
     max_attempts: int = 3
     key_header: str = "x-api-key"
     """Header that carries the team's key, in lower case."""
@@ -167,6 +169,7 @@
     def __post_init__(self) -> None:
         _require(self.max_connections >= 1, "max_connections must be at least 1")
         _require(0 <= self.retry_share <= 1, "retry_share must lie between 0 and 1")
+        _require(self.retry_window_seconds > 0, "retry_window_seconds must be positive")
         _require(self.max_attempts >= 1, "max_attempts must be at least 1")
         _require(self.key_header.islower(), "key_header must be in lower case")
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -11,6 +11,7 @@
 from bramleyglade_core.decisions.directory import Directory
 from bramleyglade_core.decisions.lease import Lease, StoreContact
 from bramleyglade_core.decisions.picker import Picker
+from bramleyglade_core.decisions.retry_budget import RetryBudgets
 from bramleyglade_core.decisions.shared_view import SharedView
 from bramleyglade_core.decisions.splitter import Splitter
 from bramleyglade_core.model.announcements import DaemonPhase, MemberRecord
@@ -57,6 +58,7 @@
         self.lease = Lease(settings.lease, clock)
         self.contact = StoreContact(clock)
         self.picker = Picker(settings.zone, self.random)
+        self.retry_budgets = RetryBudgets(settings.front)
         self.splitter = Splitter(self.random)
         self.dialect: Dialect = dialect or FleetDialect(settings.front)
         self.phase = DaemonPhase.SERVING
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -167,6 +167,11 @@
         if worker in self._idle:
             self._idle.remove(worker)
 
+    def note_run(self, item: QueuedAttempt) -> None:
+        """Take in that an attempt goes to the target now."""
+        budgets = self._context.retry_budgets
+        budgets.note_run(item.offered.is_repeat, self.clock())
+
     def note_head(self, seconds: float, is_error: bool) -> None:
         """Take in that the target has answered.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -195,3 +195,20 @@
         picked[pick.candidate.target.daemon] += 1
     assert len(picked) == 6
     assert max(picked.values()) <= 2 * 120 / 6
+
+
+def test_target_of_which_nothing_is_known_is_as_good_as_the_others():
+    """Targets that nobody had used yet were taken for slow, and got nothing."""
+    directory = Directory()
+    picker = Picker("z0", random.Random(1))
+    for number, log_latency in ((0, math.log(0.01)), (2, None)):
+        directory.merge(record(number))
+        view = TargetViewTold(f"t{number}", "s", 4, 0, False, False, log_latency)
+        picker.take_views(f"vm-{number}", [view], 0.0)
+    directory.merge(record(4))
+    candidates = directory.candidates("s")
+    picks = (
+        picker.pick(candidates, frozenset(), PickTerms(0.0)).candidate
+        for _ in range(100)
+    )
+    assert {pick.target.daemon for pick in picks} == {"vm-0", "vm-2", "vm-4"}
