--- a/packages/adapters/src/bramleyglade_adapters/link/link.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -85,6 +85,7 @@
         self._unsent_bytes = 0
         self._has_unsent = curio.Event()
         self._is_closed = False
+        self._closed = curio.Event()
         self.peer: HelloSaid | None = None
         """What the peer said first; None before."""
 
@@ -134,6 +135,7 @@
             _LOG.info("LinkBroken", extra={"peer": self.peer_name, "why": str(error)})
         finally:
             self._is_closed = True
+            await self._closed.set()
             await writer.cancel()
             await self._sock.close()
             await self._lose_streams()
@@ -141,11 +143,16 @@
     async def close(self) -> None:
         """Break the link; `run` ends soon after."""
         self._is_closed = True
+        await self._closed.set()
         try:
             await self._sock.shutdown(2)
         except OSError as error:
             _LOG.debug("LinkGone", extra={"peer": self.peer_name, "why": str(error)})
 
+    async def wait_closed(self, seconds: float) -> None:
+        """Wait until the link breaks, for some seconds at most."""
+        await curio.ignore_after(seconds, self._closed.wait)
+
     def open_stream(self, receiver: Receiver) -> int:
         """Number a new stream of this side.
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -276,13 +276,10 @@
             for link in self._peers.open_links()
             if link.peer is not None and link.peer.daemon.name != name
         ]
-        for link in self._context.random.sample(links, min(count, len(links))):
-            try:
-                told = await link.call(LookAsked(name), _LOOK_SECONDS)
-                if expect(told, LookTold).is_live:
-                    return
-            except FleetError:
-                continue
+        chosen = self._context.random.sample(links, min(count, len(links)))
+        tasks = [await curio.spawn(self._ask_look, link, name) for link in chosen]
+        if any([await task.join() for task in tasks]):
+            return
         record = self._context.directory.record_by_name.get(name)
         if record is None or self._hears(name):
             return
@@ -290,6 +287,16 @@
             _LOG.warning("MemberSuspected", extra={"member": name})
             await self._peers.tell_all(SuspicionTold(record.daemon))
 
+    async def _ask_look(self, link: Link, name: str) -> bool:
+        """Ask a peer whether a daemon answers it; False if the peer doesn't say."""
+        try:
+            told = await link.call(LookAsked(name), _LOOK_SECONDS)
+            return expect(told, LookTold).is_live
+        except FleetError as error:
+            extra = {"member": name, "peer": link.peer_name, "why": str(error)}
+            _LOG.info("LookUnanswered", extra=extra)
+            return False
+
     async def _answer_for_self(self, seen: MemberRecord) -> None:
         """Speak up when an older word of this name, or a suspicion, is about."""
         if seen.daemon.incarnation > self._context.daemon.incarnation:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -30,6 +30,9 @@
 _IDLE_SECONDS = 30.0
 """Time without use after which a link that is not kept anyway is closed."""
 
+_WANTED_SECONDS = 2.0
+"""Time between two looks whether an open link is still wanted."""
+
 _MOST_TOLD = 64
 """Peers that are told of a failure at once; the others hear of it with heartbeats or
 answers. A message costs some 50 us to write, so this bounds it at some 3 ms."""
@@ -197,9 +200,12 @@
             # The peer with the lower name dials first, so that one link is enough.
             await curio.sleep(self._context.settings.peers.heartbeat_seconds)
         while self._is_wanted(name):
-            if self.link_to(name) is None:
-                is_reached = await self._dial(name)
-                pause = _FIRST_PAUSE_SECONDS if is_reached else 2 * pause
+            open_link = self.link_to(name)
+            if open_link is not None:
+                await open_link.wait_closed(_WANTED_SECONDS)
+                continue
+            is_reached = await self._dial(name)
+            pause = _FIRST_PAUSE_SECONDS if is_reached else 2 * pause
             jitter = self._context.random.uniform(0.5, 1.0)
             await curio.sleep(jitter * min(pause, _LONGEST_PAUSE_SECONDS))
         link = self.link_to(name)
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -42,7 +42,10 @@
 """Refusals short of a target that one request puts up with."""
 
 _MOST_PICKY = 4
-"""Refusals after which a request takes a target as it is, queue and all."""
+"""Refusals after which a request waits in a target's queue if no slot is free."""
+
+_MOST_WARY = 7
+"""Refusals after which a request takes a target however often it fails."""
 
 _PASSING_CODES = frozenset({ErrorCode.TARGET_BUSY, ErrorCode.TARGET_SUSPECT})
 """Refusals after which the same target may be picked again."""
@@ -342,7 +345,6 @@
     def _make_offer(self, pick: Pick) -> AttemptOffered:
         request = self._request
         candidate = pick.candidate
-        is_picky = self._misrouted < _MOST_PICKY
         return AttemptOffered(
             attempt=AttemptId(self._context.daemon, self._number, self._count),
             target=candidate.target.name,
@@ -357,8 +359,8 @@
             traceparent=self._hop.traceparent,
             request_id=request.request_id,
             priority=request.priority,
-            must_start_now=is_picky and pick.is_free,
-            most_risk=pick.most_risk if is_picky else 1.0,
+            must_start_now=pick.is_free and self._misrouted < _MOST_PICKY,
+            most_risk=pick.most_risk if self._misrouted < _MOST_WARY else 1.0,
             objective_seconds=self._objective_left(),
             sent_at=self._context.clock(),
             is_repeat=self._verdict is not Verdict.NOT_RUN,
