Charge repeated runs to the services that they call; hand books on after a takeover

Calls of searches that run again are first attempts to their front and repeats to the rule. Charging them at the guard was tried and reverted: what has run can't be refused any more. The front that repeats now takes from the callee's budget, by calls per run told with the views.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -77,6 +77,8 @@
   views @4 :List(TargetViewTold);
 }
 
+struct CallsTold { service @0 :Text; perRun @1 :Float64; }
+
 struct TargetViewTold {
   name @0 :Text;
   service @1 :Text;
@@ -86,6 +88,7 @@
   isTrial @5 :Bool;
   logLatency @6 :Float64;
   risk @7 :Float64;
+  calls @8 :List(CallsTold);
 }
 
 struct BatchAsked { after @0 :UInt64; }
@@ -186,7 +189,6 @@
   mostRisk @14 :Float64;
   objectiveSeconds @15 :Float64;
   sentAt @16 :Float64;
-  isRepeat @17 :Bool;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/core/src/bramleyglade_core/decisions/retry_budget.py
+++ b/packages/core/src/bramleyglade_core/decisions/retry_budget.py
@@ -5,9 +5,12 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.model.peer_messages import CallsTold
 from bramleyglade_core.model.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from bramleyglade_core.model.settings import FrontSettings
 
 _OWN_FLOOR = 20.0
@@ -23,6 +26,12 @@
 """Calls to one service that a repeated run is charged with at most. Requests of callers
 to routes open to all are taken for calls too, so more would be an overestimate."""
 
+_LEAST_RUNS = 5
+"""Runs from which on their calls are told; fewer say little."""
+
+_LEARNING_WEIGHT = 0.2
+"""Weight of one daemon's word in what is known of a service's calls."""
+
 
 class SlidingCount:
     """What has come in a window that ends now, in steps of a twentieth of it."""
@@ -82,16 +91,14 @@
         """Earn a part of a repeat."""
         self._requests.add(1.0, now)
 
-    def try_spend(self, now: float) -> bool:
-        """Spend one repeat; False if there is none."""
+    def has(self, repeats: float, now: float) -> bool:
+        """Tell whether some repeats, or a part of one, may be spent."""
         earned = self._settings.retry_share * self._requests.total(now)
-        if self._repeats.total(now, is_cautious=True) + 1.0 > self._floor + earned:
-            return False
-        self._repeats.add(1.0, now)
-        return True
+        spent = self._repeats.total(now, is_cautious=True)
+        return spent + repeats <= self._floor + earned
 
-    def charge(self, repeats: float, now: float) -> None:
-        """Count repeats that others have caused, whether they were in hand or not."""
+    def spend(self, repeats: float, now: float) -> None:
+        """Count repeats as spent."""
         self._repeats.add(repeats, now)
 
 
@@ -99,41 +106,91 @@
     """One daemon's budgets of all services.
 
     A run that is a repeat makes its calls again, and they are repeats at the
-    services called. The daemon beside the target charges them, by the calls that
-    its runs have made so far.
+    services called. So it takes from their budgets too, by the calls that runs at
+    the service have made so far, as the daemons beside its targets tell.
     """
 
     def __init__(self, settings: FrontSettings) -> None:
         self._settings = settings
+        self._daemons = 1
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._runs = 0
         self._calls_by_service: dict[str, int] = {}
+        self._per_run_by_callee_by_service: dict[str, dict[str, float]] = {}
 
-    def find(self, service: str) -> RetryBudget:
-        """Return the budget of a service."""
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget = RetryBudget(self._settings)
-            self._budget_by_service[service] = budget
-        return budget
+    def share_floor(self, daemons: int) -> None:
+        """Take this daemon's part of the floors that all daemons have together.
+
+        Args:
+            daemons: Daemons in the fleet, this one included.
+        """
+        if daemons == self._daemons:
+            return
+        self._daemons = daemons
+        for budget in self._budget_by_service.values():
+            budget.share_floor(daemons)
+
+    def note_first_attempt(self, service: str, now: float) -> None:
+        """Earn a part of a repeat of a service's requests."""
+        self._find(service).note_first_attempt(now)
+
+    def try_spend(self, service: str, may_have_run: bool, now: float) -> bool:
+        """Spend one repeat of a service's requests; False if there is none.
+
+        Args:
+            service: The service.
+            may_have_run: Whether the request may have run, and made its calls.
+            now: Time of this process's clock, in seconds.
+        """
+        wanted_by_service = {service: 1.0}
+        if may_have_run:
+            per_run_by_callee = self._per_run_by_callee_by_service.get(service, {})
+            for callee, per_run in per_run_by_callee.items():
+                known = wanted_by_service.get(callee, 0.0)
+                wanted_by_service[callee] = known + per_run
+        wanted = [(self._find(s), part) for s, part in wanted_by_service.items()]
+        if not all(budget.has(part, now) for budget, part in wanted):
+            return False
+        for budget, part in wanted:
+            budget.spend(part, now)
+        return True
+
+    def note_run(self) -> None:
+        """Note that a target of this VM begins to run a request."""
+        self._runs += 1
 
     def note_call(self, service: str) -> None:
         """Note a request that a target of this VM may have sent while it ran one."""
         self._calls_by_service[service] = self._calls_by_service.get(service, 0) + 1
 
-    def note_run(self, is_repeat: bool, now: float) -> None:
-        """Note that a target of this VM begins to run a request.
+    def calls(self) -> tuple[CallsTold, ...]:
+        """Return the calls that runs on this VM have made, for other daemons."""
+        if self._runs < _LEAST_RUNS:
+            return ()
+        return tuple(
+            CallsTold(service, min(_MOST_CALLS_PER_RUN, calls / self._runs))
+            for service, calls in self._calls_by_service.items()
+        )
+
+    def learn_calls(self, service: str, calls: Iterable[CallsTold]) -> None:
+        """Take in what runs at a target of a service have called.
 
         Args:
-            is_repeat: Whether the request may have run before.
-            now: Time of this process's clock, in seconds.
+            service: The target's service.
+            calls: Its calls to each service.
         """
-        self._runs += 1
-        if not is_repeat:
-            return
-        for service, calls in self._calls_by_service.items():
-            calls_per_run = min(_MOST_CALLS_PER_RUN, calls / self._runs)
-            self.find(service).charge(calls_per_run, now)
+        known = self._per_run_by_callee_by_service.setdefault(service, {})
+        for told in calls:
+            before = known.get(told.service, told.per_run)
+            known[told.service] = before + _LEARNING_WEIGHT * (told.per_run - before)
+
+    def _find(self, service: str) -> RetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(self._settings)
+            budget.share_floor(self._daemons)
+            self._budget_by_service[service] = budget
+        return budget
 
 
 def may_retry(verdict: Verdict, is_idempotent: bool, is_body_spent: bool) -> bool:
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -23,6 +23,16 @@
     record: MemberRecord
 
 
+@dataclass(frozen=True, slots=True)
+class CallsTold:
+    """How often a run at a target calls a service."""
+
+    service: str
+    """The service that is called."""
+    per_run: float
+    """Calls that a run makes, on average."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetViewTold:
     """Load and health of one target, from its guard."""
@@ -36,6 +46,8 @@
     log_latency: float | None = None
     risk: float = 0.0
     """Probability that the target fails the next request, 0 to 1."""
+    calls: tuple[CallsTold, ...] = ()
+    """What its runs call."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -18,9 +18,12 @@
 from bramleyglade_core.model.identifiers import DaemonId
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from bramleyglade_adapters.telemetry import Telemetry
     from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.model.announcements import TargetAnnouncement
+    from bramleyglade_core.model.peer_messages import TargetViewTold
     from bramleyglade_core.model.settings import DaemonSettings
     from bramleyglade_core.ports.clock import Clock
     from bramleyglade_core.ports.dialect import Dialect
@@ -89,6 +92,18 @@
         """Whether a planned stop has begun."""
         return self.phase is not DaemonPhase.SERVING
 
+    def take_views(self, daemon: str, views: Iterable[TargetViewTold]) -> None:
+        """Take in what a guard says of its targets.
+
+        Args:
+            daemon: Name of the guard's daemon.
+            views: One view for each of its targets, or for some.
+        """
+        views = tuple(views)
+        self.picker.take_views(daemon, views, self.clock())
+        for view in views:
+            self.retry_budgets.learn_calls(view.service, view.calls)
+
     def renew_record(self) -> MemberRecord:
         """Write this daemon's own record anew, above any that is known."""
         known = self.directory.record_by_name.get(self.settings.name)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -208,7 +208,7 @@
             await link.close()
             return
         self._peers.note_heard(name)
-        self._context.picker.take_views(name, told.views, self._context.clock())
+        self._context.take_views(name, told.views)
         await self._shared.take_heartbeat(link, told, sent_at)
         if told.members_digest != self._context.directory.digest:
             await self._pull_records(link)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -163,7 +163,7 @@
 
     @_handle.register
     async def _(self, message: BookHandedOver, link: Link, stream: int) -> None:
-        self._keepers.take_handed(message)
+        await self._keepers.take_handed(message)
         await self._answer(link, stream, Acknowledged())
 
     @_handle.register
@@ -201,9 +201,7 @@
     @_handle.register
     async def _(self, message: TargetViewTold, link: Link, stream: int) -> None:
         assert link.peer is not None
-        self._context.picker.take_views(
-            link.peer.daemon.name, (message,), self._context.clock()
-        )
+        self._context.take_views(link.peer.daemon.name, (message,))
 
     async def _refuse_late(
         self, offered: AttemptOffered, stream: GuardStream, held_up: float
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -26,7 +26,6 @@
 if TYPE_CHECKING:
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.directory import Candidate
-    from bramleyglade_core.decisions.retry_budget import RetryBudget
     from bramleyglade_core.model.identifiers import TargetId
     from bramleyglade_core.ports.streams import AttemptPort, AttemptStream
     from bramleyglade_daemon.fleet.context import Context
@@ -81,10 +80,11 @@
     ) -> Attempts:
         """Begin the attempts of a request."""
         self._last_request += 1
-        now = self._context.clock()
-        self._budget(request).note_first_attempt(now)
+        budgets = self._context.retry_budgets
+        budgets.share_floor(len(self._context.directory.record_by_name))
+        budgets.note_first_attempt(request.service.name, self._context.clock())
         if not request.team:
-            self._context.retry_budgets.note_call(request.service.name)
+            budgets.note_call(request.service.name)
         return Attempts(self, request, feeder, hop, log, self._last_request)
 
     @property
@@ -92,19 +92,17 @@
         """What all tasks of the daemon share."""
         return self._context
 
-    def try_spend_retry(self, request: AdmittedRequest) -> bool:
+    def try_spend_retry(self, request: AdmittedRequest, verdict: Verdict) -> bool:
         """Spend one retry of the service's budget; False if there is none."""
-        return self._budget(request).try_spend(self._context.clock())
+        may_have_run = verdict is not Verdict.NOT_RUN
+        return self._context.retry_budgets.try_spend(
+            request.service.name, may_have_run, self._context.clock()
+        )
 
     def port(self, candidate: Candidate) -> AttemptPort:
         """Return the way to a target's guard."""
         return self._ports.find(candidate.target.daemon)
 
-    def _budget(self, request: AdmittedRequest) -> RetryBudget:
-        budget = self._context.retry_budgets.find(request.service.name)
-        budget.share_floor(len(self._context.directory.record_by_name))
-        return budget
-
     def note_own_targets(self) -> None:
         """Take in the load of the targets on this VM, which costs no message."""
         self._ports.note_own_targets()
@@ -203,7 +201,9 @@
         event = await curio.ignore_after(wait, self.receive)
         if event is not None:
             return event
-        if not self._has_other_target() or not self._try_spend_retry():
+        if not self._has_other_target() or not self._try_spend_retry(
+            Verdict.MAY_HAVE_RUN
+        ):
             return await self.receive()
         assert self.stream is not None
         await self.stream.cancel()
@@ -292,10 +292,10 @@
         if self._count - self._misrouted >= self._most_attempts:
             return False
         is_paid, self._is_retry_paid = self._is_retry_paid, False
-        return is_paid or self._try_spend_retry()
+        return is_paid or self._try_spend_retry(failed.verdict)
 
-    def _try_spend_retry(self) -> bool:
-        return self._dispatcher.try_spend_retry(self._request)
+    def _try_spend_retry(self, verdict: Verdict) -> bool:
+        return self._dispatcher.try_spend_retry(self._request, verdict)
 
     def _attempt_timeout(self) -> float | None:
         """Return the time for this attempt; None if it must run to its end."""
@@ -363,7 +363,6 @@
             most_risk=pick.most_risk if self._misrouted < _MOST_WARY else 1.0,
             objective_seconds=self._objective_left(),
             sent_at=self._context.clock(),
-            is_repeat=self._verdict is not Verdict.NOT_RUN,
         )
 
     def _objective_left(self) -> float | None:
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -164,7 +164,7 @@
     def note_targets(self) -> None:
         """Tell the front in this process the load and health of all targets."""
         name = self._context.settings.name
-        self._context.picker.take_views(name, self.views(), self._context.clock())
+        self._context.take_views(name, self.views())
 
     async def close(self) -> None:
         """Give back all waiting work."""
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -103,6 +103,7 @@
             is_trial=phase is HealthPhase.TRIAL,
             log_latency=self.health.test.log_latency,
             risk=self.failures.risk(self.clock()),
+            calls=self._context.retry_budgets.calls(),
         )
 
     def start_hop(self, item: QueuedAttempt) -> Hop:
@@ -167,10 +168,9 @@
         if worker in self._idle:
             self._idle.remove(worker)
 
-    def note_run(self, item: QueuedAttempt) -> None:
+    def note_run(self) -> None:
         """Take in that an attempt goes to the target now."""
-        budgets = self._context.retry_budgets
-        budgets.note_run(item.offered.is_repeat, self.clock())
+        self._context.retry_budgets.note_run()
 
     def note_head(self, seconds: float, is_error: bool) -> None:
         """Take in that the target has answered.
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -366,3 +366,30 @@
         assert statuses.count(200) >= 15
 
     run_fleet(scenario, daemons=3, zones=1)
+
+
+def test_keeper_that_was_given_up_by_others_hands_its_book_on(run_fleet):
+    """A keeper that others could not reach cost its teams four seconds and more."""
+
+    async def scenario(fleet):
+        await fleet.call(0)
+        shard = fleet.daemons[0].keepers.shard_of_team("studio")
+        view = fleet.daemons[0].context.view
+        old = view.assignment_by_shard[shard]
+        names = [settings.name for settings in fleet.settings]
+        taker = next(i for i, name in enumerate(names) if name != old.keeper.name)
+        keepers = fleet.daemons[taker].keepers
+        # The two don't reach each other; a third daemon reaches both.
+        fleet.blocked.add(frozenset((taker, names.index(old.keeper.name))))
+        await fleet.cut_links(taker, names.index(old.keeper.name))
+        await keepers._claim(shard, old)
+        await fleet.until(
+            lambda: (
+                shard in keepers._keeper_by_shard
+                and keepers._keeper_by_shard[shard].phase is KeeperPhase.GRANTING
+            )
+        )
+        epoch = view.assignment_by_shard[shard].epoch
+        assert keepers._handed_by_shard[shard].epoch == epoch
+
+    run_fleet(scenario, daemons=3, zones=1)
