Place by how fast targets are now

Change: speed_meter.py (five answers, and what is overdue); jumps are told to all linked fronts; what was told fades, so a target that was slow is tried again.

--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -29,6 +29,10 @@
 _FULL_LOAD_SECONDS = 0.06
 """Wait that a target is charged as its slots fill; some slow down then."""
 
+_SPEED_SECONDS = 5.0
+"""Time in which two thirds of what is known of a target's speed become void; spells
+of slowness on the users' days last six to nine seconds."""
+
 _UNKNOWN_SECONDS = 0.25
 """Time that an exchange takes at a service of which nothing is known."""
 
@@ -271,7 +275,7 @@
         if view is None:
             view = TargetView(candidate.announcement.slots, own)
         return (
-            self._wait(view, own, typical)
+            self._wait(view, own, typical, terms.now)
             + self._distance(candidate, terms)
             + self._risk(view, terms)
         )
@@ -287,10 +291,12 @@
         own = self._own_by_target.get(candidate.target, 0)
         return view.is_ejected or (view.is_trial and own > 0)
 
-    def _wait(self, view: TargetView, own: int, typical: float) -> float:
+    def _wait(self, view: TargetView, own: int, typical: float, now: float) -> float:
         latency = typical
         if view.log_latency is not None:
-            latency = math.exp(view.log_latency)
+            # What was slow when last heard of may be as fast as the others again.
+            trust = math.exp(-(now - view.told_at) / _SPEED_SECONDS)
+            latency += (math.exp(view.log_latency) - typical) * trust
         limit = max(1, view.limit)
         busy = max(own, view.busy)
         queue_seconds = max(0, busy + 1 - limit) / limit * latency
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -48,7 +48,7 @@
         self.on_changed: Callable[[], Awaitable[None]] | None = None
         """Called when the set of targets, or one of them, has changed."""
         self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
-        """Called when a target has failed, so that other fronts avoid it too."""
+        """Called when a target fails, or is slow, so that all fronts avoid it."""
 
     @property
     def running(self) -> int:
@@ -162,9 +162,10 @@
             for name, renewed_at in list(self._renewed_at_by_name.items()):
                 if renewed_at < oldest:
                     await self.withdraw(name)
-            for runner in self.runner_by_name.values():
+            for runner in list(self.runner_by_name.values()):
                 runner.health.service_log_latency = self._service_log_latency(runner)
                 runner.look_for_overdue()
+                await runner.tell_speed()
             self.note_targets()
 
     def note_targets(self) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -12,6 +12,7 @@
 from bramleyglade_core.decisions.ejection import HealthPhase
 from bramleyglade_core.decisions.failure_filter import FailureFilter
 from bramleyglade_core.decisions.ramp import ConcurrencyRamp
+from bramleyglade_core.decisions.speed_meter import SpeedMeter
 from bramleyglade_core.decisions.timely_queue import TimelyQueue
 from bramleyglade_core.model.errors import AttemptRefused, ErrorCode, FleetError
 from bramleyglade_core.model.peer_messages import TargetViewTold
@@ -43,6 +44,10 @@
 """Time between two words to all fronts that a target fails; one failure moves the
 estimate most, so the ones right after it need not be told."""
 
+_TELLING_CHANGE = math.log(1.8)
+"""Change of a target's latency that all fronts are told of; the smoothed latency of a
+target that stays as it is moves by less."""
+
 _TRIALS_AT_ONCE = 1
 """Requests that a target on trial runs at once."""
 
@@ -68,6 +73,8 @@
         self.ramp = ConcurrencyRamp(announced.slots)
         self.cold = ColdGate()
         self.failures = FailureFilter()
+        self.speed = SpeedMeter()
+        self._told_log_latency: float | None = None
         self._context = context
         self._outcomes = outcomes
         self._queue: TimelyQueue[QueuedAttempt] = TimelyQueue(
@@ -81,7 +88,7 @@
         self.last_traffic_at = -math.inf
         self.reported_instance = ""
         self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
-        """Called with the target's view when it has failed."""
+        """Called with the target's view when it has failed or changed its speed."""
         self._has_failed = False
         self._doubted_at = -math.inf
 
@@ -105,7 +112,7 @@
             busy=self.busy,
             is_ejected=phase is HealthPhase.EJECTED,
             is_trial=phase is HealthPhase.TRIAL,
-            log_latency=self.health.test.log_latency,
+            log_latency=self._log_latency(),
             risk=self.failures.risk(self.clock()),
             calls=self._context.retry_budgets.calls(),
         )
@@ -192,6 +199,7 @@
             self._has_failed = True
             self.health.note_failure(now)
             return
+        self.speed.note(seconds)
         self.health.note_answer(seconds, now)
         self.ramp.note_good(seconds)
 
@@ -239,6 +247,25 @@
         if self.on_doubted is not None:
             await self.on_doubted(self.view())
 
+    async def tell_speed(self) -> None:
+        """Tell the fronts if the target has become much slower or faster."""
+        known, now = self._told_log_latency, self._log_latency()
+        if now is None:
+            return
+        if known is not None and abs(now - known) < _TELLING_CHANGE:
+            return
+        self._told_log_latency = now
+        if known is not None and self.on_doubted is not None:
+            await self.on_doubted(self.view())
+
+    def _log_latency(self) -> float | None:
+        now = self.clock()
+        return self.speed.log_latency(
+            now - worker.sent_at
+            for worker in self._running
+            if worker.sent_at is not None and worker.head_seconds is None
+        )
+
     def note_outcome(self, item: QueuedAttempt, code: str, seconds: float) -> None:
         """Count an exchange that has ended."""
         self._context.telemetry.note_attempt(item.offered.service, code, seconds)
@@ -294,6 +321,7 @@
         self.announced = announced
         self.ramp = ConcurrencyRamp(announced.slots)
         self.failures = FailureFilter()
+        self.speed = SpeedMeter()
         self.health.restart()
 
     async def close(self) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -212,3 +212,22 @@
         for _ in range(100)
     )
     assert {pick.target.daemon for pick in picks} == {"vm-0", "vm-2", "vm-4"}
+
+
+def test_target_that_was_slow_is_picked_again_after_a_while():
+    """A slow target that got no requests stayed slow in the eyes of each front."""
+    directory = Directory()
+    picker = Picker("z0", random.Random(1))
+    for number, seconds in ((0, 1.0), (2, 0.2)):
+        directory.merge(record(number))
+        view = TargetViewTold(f"t{number}", "s", 4, 0, False, False, math.log(seconds))
+        picker.take_views(f"vm-{number}", [view], 0.0)
+    candidates = directory.candidates("s")
+
+    def picked(now):
+        terms = PickTerms(now, may_try=False)
+        picks = (picker.pick(candidates, frozenset(), terms) for _ in range(100))
+        return {pick.candidate.target.daemon for pick in picks}
+
+    assert picked(0.5) == {"vm-2"}
+    assert picked(20.0) == {"vm-0", "vm-2"}
--- a/tests/test_target_decisions.py
+++ b/tests/test_target_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -15,6 +16,7 @@
 from bramleyglade_core.decisions.rendezvous import spread
 from bramleyglade_core.decisions.report_order import ReportOrder
 from bramleyglade_core.decisions.retry_budget import RetryBudget, RetryBudgets
+from bramleyglade_core.decisions.speed_meter import SpeedMeter
 from bramleyglade_core.decisions.splitter import Splitter
 from bramleyglade_core.model.entities import Route, SplitPart
 from bramleyglade_core.model.settings import FrontSettings
@@ -238,3 +240,28 @@
     assert len(set(chosen)) == len(chosen) == min(count, len(zone_by_name))
     zones = {zone_by_name[name] for name in chosen}
     assert len(zones) == min(count, len(sizes))
+
+
+def test_slow_target_is_seen_before_its_answers_come():
+    meter = SpeedMeter()
+    for _ in range(50):
+        meter.note(0.2)
+    assert math.isclose(meter.log_latency([]), math.log(0.2))
+    # One long request says nothing of the target.
+    assert math.isclose(meter.log_latency([1.0, 0.1]), math.log(0.2))
+    assert meter.log_latency([1.0, 0.8, 0.1]) == math.log(0.9)
+
+
+@pytest.mark.parametrize("spread", [0.3, 0.8])
+def test_speed_follows_a_slow_target_within_eight_answers(spread):
+    randomness = random.Random(3)
+    meter = SpeedMeter()
+    steady = []
+    for _ in range(300):
+        meter.note(randomness.lognormvariate(math.log(0.2), spread))
+        steady.append(math.exp(meter.log_latency([])))
+    assert sorted(steady)[30] > 0.1
+    assert sorted(steady)[270] < 0.4
+    for _ in range(8):
+        meter.note(randomness.lognormvariate(math.log(1.0), spread))
+    assert math.exp(meter.log_latency([])) > 0.45
