--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -37,6 +37,14 @@
     headers: tuple[Header, ...]
     has_body: bool
 
+    @property
+    def stated_bytes(self) -> int | None:
+        """Size of the body; None if the caller sends it in chunks."""
+        if not self.has_body:
+            return 0
+        stated = self.header("content-length")
+        return int(stated) if stated else None
+
     def header(self, name: str) -> str:
         """Return the value of the first header of a name, or an empty string."""
         return first_header(self.headers, name)
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -20,11 +20,16 @@
 _MOST_COMPARED = 32
 """Targets compared for each pick; of more than that a sample is taken."""
 
-_OTHER_ZONE_SECONDS = 0.08
-"""Wait that a target in another zone is charged, since bytes between zones cost."""
+_OTHER_ZONE_SECONDS = 0.12
+"""Wait that a target in another zone is charged, since bytes between zones cost; some
+5 KB for a request and its answer, at the rate below and twice that."""
 
-_OTHER_ZONE_BODY_SECONDS = 0.25
-"""The same for a request with a body."""
+_OTHER_ZONE_SECONDS_PER_BYTE = 12e-6
+"""The same for each byte of a body. A gigabyte costs what 10,000 requests are worth on
+the users' days (`GB between zones` in the reports), and a failure of one 3 s here."""
+
+_MOST_OTHER_ZONE_SECONDS = 0.6
+"""Most of that charge: a target that fails one request in four is not worth it."""
 
 _FULL_LOAD_SECONDS = 0.06
 """Wait that a target is charged as its slots fill; some slow down then."""
@@ -102,7 +107,8 @@
     """Whether another attempt may follow a failed one."""
     may_try: bool = True
     """Whether the request may be one that tries a doubted target."""
-    has_body: bool = False
+    body_bytes: int = 0
+    """Size of the body, as far as it is known."""
     is_trial: bool = False
     """Whether the request does try a doubted target."""
 
@@ -314,7 +320,8 @@
     def _distance(self, candidate: Candidate, terms: PickTerms) -> float:
         if candidate.zone == self._zone:
             return 0.0
-        return _OTHER_ZONE_BODY_SECONDS if terms.has_body else _OTHER_ZONE_SECONDS
+        body = _OTHER_ZONE_SECONDS_PER_BYTE * terms.body_bytes
+        return min(_MOST_OTHER_ZONE_SECONDS, _OTHER_ZONE_SECONDS + body)
 
     def _risk(self, view: TargetView, terms: PickTerms) -> float:
         risk = faded_risk(view.risk, terms.now - view.told_at)
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -55,6 +55,10 @@
 """Time in which a report of a target, or a heartbeat of its guard, may come; callers
 of the users' platform wait no longer than a third of the time they have left."""
 
+_UNKNOWN_BODY_BYTES = 50_000
+"""Size that a body is taken to have whose caller does not say; uploads of the users'
+days have 60 KB on average."""
+
 _ASK_PAUSE_SECONDS = 0.3
 _GRACE_SECONDS = 0.25
 """Time beyond the deadline in which the guard's own word may still come."""
@@ -324,12 +328,13 @@
 
     def _pick(self) -> Pick:
         candidates = self._dispatcher.candidates(self._request)
+        stated = self._request.head.stated_bytes
         may_repeat = self._request.is_idempotent and not self._is_last
         terms = PickTerms(
             now=self._context.clock(),
             may_repeat=may_repeat,
             may_try=may_repeat and self._count == 0,
-            has_body=self._request.head.has_body,
+            body_bytes=_UNKNOWN_BODY_BYTES if stated is None else stated,
         )
         self._dispatcher.note_own_targets()
         pick = self._context.picker.pick(candidates, self._tried, terms)
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -74,8 +74,8 @@
     Raises:
         BadRequest: If the stated length is above the limit.
     """
-    stated = head.header("content-length")
-    if stated and int(stated) > limits.max_body_bytes:
+    stated = head.stated_bytes
+    if stated is not None and stated > limits.max_body_bytes:
         raise BadRequest(
             ErrorCode.BODY_TOO_LARGE,
             f"{stated} bytes, and {limits.max_body_bytes} are taken",
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -244,6 +244,21 @@
         for number, busy in ((0, 1), (1, 0)):
             view = TargetViewTold(f"t{number}", "s", 1, busy, False, False)
             picker.take_views(f"vm-{number}", [view], 0.0)
-        pick = picker.pick(candidates, frozenset(), PickTerms(0.0, has_body=True))
+        pick = picker.pick(candidates, frozenset(), PickTerms(0.0, body_bytes=4))
         assert pick.candidate.target.daemon == "vm-1"
         assert pick.is_free
+
+
+@pytest.mark.parametrize(("body_bytes", "daemon"), [(0, "vm-1"), (60_000, "vm-0")])
+def test_large_body_stays_in_its_zone_where_a_small_request_leaves(body_bytes, daemon):
+    """Each upload that left its zone cost as much as a third of its worth."""
+    directory = Directory()
+    directory.merge(record(0))
+    directory.merge(record(1))  # In the other zone.
+    picker = Picker("z0", random.Random(1))
+    for number, risk in ((0, 0.14), (1, 0.03)):
+        view = TargetViewTold(f"t{number}", "s", 4, 0, False, False, risk=risk)
+        picker.take_views(f"vm-{number}", [view], 0.0)
+    terms = PickTerms(0.0, may_repeat=False, may_try=False, body_bytes=body_bytes)
+    pick = picker.pick(directory.candidates("s"), frozenset(), terms)
+    assert pick.candidate.target.daemon == daemon
