--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -140,11 +140,40 @@
     ),
     Mutation(
         "no target sees a key",
-        f"{_DAEMON}/front/request.py",
-        'dropped = (settings.key_header, "expect"',
-        'dropped = ("", "expect"',
+        "adapters/src/bramleyglade_adapters/http/fleet_dialect.py",
+        "        self._dropped = (\n            settings.key_header,\n",
+        "        self._dropped = (\n",
         "tests/test_path.py",
     ),
+    Mutation(
+        "rate and burst: what a silent daemon may hold is not granted",
+        f"{_CORE}/shard_keeper.py",
+        "book.assume_held(daemon, self._silent_until)",
+        "pass",
+        "tests/test_shares.py",
+    ),
+    Mutation(
+        "rate and burst: a new share holds what came with it",
+        f"{_CORE}/share_holding.py",
+        "        self._refilled_at = max(now, self._refilled_at)\n        if now",
+        "        if now < self.term_end:\n"
+        "            self._refilled_at = max(now, self._refilled_at)\n        if now",
+        "tests/test_shares.py",
+    ),
+    Mutation(
+        "repeats are bounded: a repeated run makes its calls again",
+        f"{_CORE}/retry_budget.py",
+        "        if may_have_run:\n",
+        "        if False:\n",
+        "tests/test_target_decisions.py",
+    ),
+    Mutation(
+        "repeats are bounded: a restart gives no second floor",
+        f"{_CORE}/retry_budget.py",
+        "return self._floor * min(1.0, max(0.0, age))",
+        "return self._floor",
+        "tests/test_target_decisions.py",
+    ),
     Mutation(
         "a cold target gets one request at first",
         f"{_CORE}/ramp.py",
