Log targets that get no requests, and fronts that avoid one; measure gaps between requests

A target without requests left no trace, so the three hypotheses looked alike. TargetIdle (once a gap, from 2 s on) has what fronts weigh: phase, risk, latency beside its service's, slots. TargetUsedAgain has the gap's length, TargetAvoided the front that leaves a target out and for how long. bramleyglade.target.idle is a histogram of gaps. No decision changes.

--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -108,6 +108,10 @@
     def _target_latency(self) -> Histogram:
         return self._meter.create_histogram("bramleyglade.target.latency", unit="ms")
 
+    @cached_property
+    def _target_idle(self) -> Histogram:
+        return self._meter.create_histogram("bramleyglade.target.idle", unit="ms")
+
     def note_request(self, code: str, verdict: str, seconds: float) -> None:
         """Count a request that the front has answered."""
         self._requests.add(("code", code), ("verdict", verdict))
@@ -119,6 +123,11 @@
         attributes = {"service": service}
         self._target_latency.record(seconds * _MILLISECONDS_PER_SECOND, attributes)
 
+    def note_idle(self, service: str, seconds: float) -> None:
+        """Record the time between two requests to a target."""
+        attributes = {"service": service}
+        self._target_idle.record(seconds * _MILLISECONDS_PER_SECOND, attributes)
+
     def note_event(self, name: str) -> None:
         """Count something that operators may want to hear of."""
         self._events.add(("event", name))
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -206,22 +206,26 @@
         else:
             self._own_by_target.pop(target, None)
 
-    def avoid(self, target: TargetId, service_size: int, now: float) -> None:
+    def avoid(self, target: TargetId, service_size: int, now: float) -> float:
         """Avoid a target that this front could not get through to.
 
         Args:
             target: The target.
             service_size: Targets of its service; at most half are avoided.
             now: Time of this process's clock, in seconds.
+
+        Returns:
+            How long it is avoided, in seconds; 0 if too many are avoided already.
         """
         active = sum(1 for a in self._avoidance_by_target.values() if a.until > now)
         if active + 1 > _MAX_AVOIDED_SHARE * service_size:
-            return
+            return 0.0
         known = self._avoidance_by_target.get(target)
         seconds = _AVOID_SECONDS
         if known is not None and now - known.until < known.seconds:
             seconds = min(2 * known.seconds, _LONGEST_AVOID_SECONDS)
         self._avoidance_by_target[target] = _Avoidance(now + seconds, seconds)
+        return seconds
 
     def trust(self, target: TargetId) -> None:
         """Forget that a target was avoided, since it has answered."""
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -403,7 +403,15 @@
         if self._candidate is not None:
             size = len(self._dispatcher.candidates(self._request))
             now = self._context.clock()
-            self._context.picker.avoid(self._candidate.target, size, now)
+            target = self._candidate.target
+            seconds = self._context.picker.avoid(target, size, now)
+            extra = {
+                "request": self._request.request_id,
+                "target": target.name,
+                "daemon": target.daemon,
+                "seconds": seconds,
+            }
+            _LOG.info("TargetAvoided", extra=extra)
 
 
 def _caller_failed(detail: str) -> AttemptFailed:
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -165,6 +165,7 @@
             for runner in list(self.runner_by_name.values()):
                 runner.health.service_log_latency = self._service_log_latency(runner)
                 runner.look_for_overdue()
+                runner.report_idle()
                 await runner.tell_speed()
             self.note_targets()
 
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -51,6 +51,10 @@
 _TRIALS_AT_ONCE = 1
 """Requests that a target on trial runs at once."""
 
+_REPORTED_IDLE_SECONDS = 2.0
+"""Time without a request after which a target is reported as idle; users count the
+targets in use over spans of this length."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -86,6 +90,9 @@
         self._seconds_per_exchange: float | None = None
         self._overdue_level_by_worker: dict[TargetWorker, int] = {}
         self.last_traffic_at = -math.inf
+        self.last_sent_at = context.clock()
+        """When the target was last sent a request, or was first heard of."""
+        self._is_idle_reported = False
         self.reported_instance = ""
         self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
         """Called with the target's view when it has failed or changed its speed."""
@@ -311,6 +318,39 @@
                 self._overdue_level_by_worker[worker] = level + 1
                 self.health.test.note_overdue(age, typical)
 
+    def report_idle(self) -> None:
+        """Log once that the target has had no request for long, and why it may be."""
+        now = self.clock()
+        idle = now - self.last_sent_at
+        if idle < _REPORTED_IDLE_SECONDS or self._is_idle_reported:
+            return
+        if self.announced.is_draining or not self._context.is_zone_in_use:
+            return
+        self._is_idle_reported = True
+        extra = {
+            "target": self.announced.name,
+            "service": self.announced.service,
+            "seconds": round(idle, 3),
+            "phase": self.health.phase(now).value,
+            "risk": round(self.failures.risk(now), 3),
+            "log_latency": self._log_latency(),
+            "service_log_latency": self.health.service_log_latency,
+            "running": self.running,
+            "limit": self._limit(),
+        }
+        _LOG.info("TargetIdle", extra=extra)
+        self._context.telemetry.note_event("TargetIdle")
+
+    def _note_sent(self) -> None:
+        now = self.clock()
+        self.cold.note_sent(now)
+        idle, self.last_sent_at = now - self.last_sent_at, now
+        self._context.telemetry.note_idle(self.announced.service, idle)
+        if self._is_idle_reported:
+            self._is_idle_reported = False
+            extra = {"target": self.announced.name, "seconds": round(idle, 3)}
+            _LOG.info("TargetUsedAgain", extra=extra)
+
     async def eject(self) -> None:
         """Give back all waiting work, to be tried elsewhere."""
         for item in self._queue.clear():
@@ -431,7 +471,7 @@
                 code = ErrorCode.DEADLINE_TOO_SHORT
                 await self._refuse(item, code, "it waited past its deadline")
                 continue
-            self.cold.note_sent(self.clock())
+            self._note_sent()
             return item
         return None
 
