Give each target a request within two seconds, whatever is held against it

Cause: nothing bounds how long a target is left out. A target that once failed came back only when a request happened to be a trial and happened to pick it (two in five repeatable requests, one of all that are in doubt); a well one was drawn by lot among those alike. Both have a mean and no bound, and no front knows how long a target has had nothing. Evidence: tests/failing_service.py plays the real decisions on a clock of its own. Why it works: the guard sees all fronts' requests, so it knows the gap. From 1 s on it tells the fronts that the target is due, and takes one request for that whatever the risk; a repeatable one first, any one from 1.6 s on. What a front merely believes can't do it twice: the guard refuses the second, and tells all that the first has come. An ejected target gets repeatable ones, and one on trial no longer needs a service that has any. The lottery and its four figures (share, two risks, worth of a trial) are gone.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -89,6 +89,8 @@
   logLatency @6 :Float64;
   risk @7 :Float64;
   calls @8 :List(CallsTold);
+  isDue @9 :Bool;
+  isOverdue @10 :Bool;
 }
 
 struct BatchAsked { after @0 :UInt64; }
@@ -190,6 +192,7 @@
   mostRisk @14 :Float64;
   objectiveSeconds @15 :Float64;
   sentAt @16 :Float64;
+  isForDue @17 :Bool;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -53,16 +53,9 @@
 a target a few requests a second; fronts that all took the best one would meet there,
 and the others would get nothing. It is less than the wait behind one full target."""
 
-_TRIAL_SHARE = 0.4
-"""Share of repeatable requests that may go to a doubted target. Of thirty targets
-sixteen got nothing for seconds where it was 0.15, though most were well again."""
-
-_LEAST_TRIAL_RISK = 0.08
-_MOST_TRIAL_RISK = 0.33
-"""Risks between which a target is tried; they are reached 1.5 s after a failure."""
-
-_TRIAL_SECONDS = 1.0
-"""Wait that a trial is worth, so that it goes to a doubted target if there is one."""
+_DUE_TOLD_SECONDS = 1.0
+"""Age up to which the word that a target is due holds; guards repeat it twice as often
+while it is."""
 
 _UNKNOWN_RISK = 0.2
 """Risk up to which a target is taken of which this front knows nothing."""
@@ -93,6 +86,10 @@
     """Smoothed logarithm of the latency in seconds."""
     risk: float = 0.0
     """Probability that the target fails the next request, 0 to 1."""
+    is_due: bool = False
+    """Whether the next request that may be repeated should go to it."""
+    is_overdue: bool = False
+    """Whether the next request of any kind should go to it."""
     told_at: float = 0.0
     """When the guard said so, by this process's clock, in seconds."""
 
@@ -106,11 +103,9 @@
     may_repeat: bool = True
     """Whether another attempt may follow a failed one."""
     may_try: bool = True
-    """Whether the request may be one that tries a doubted target."""
+    """Whether the request may go to a target that is in doubt and due for one."""
     body_bytes: int = 0
     """Size of the body, as far as it is known."""
-    is_trial: bool = False
-    """Whether the request does try a doubted target."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +117,8 @@
     """Whether a slot seemed to be free."""
     most_risk: float
     """Risk of failure up to which the choice still holds, 0 to 1."""
+    is_for_due: bool = False
+    """Whether the target was chosen because it was due for a request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +139,8 @@
         self._random = random_source
         self._own_by_target: dict[TargetId, int] = {}
         self._avoidance_by_target: dict[TargetId, _Avoidance] = {}
+        self._due: set[TargetId] = set()
+        """Targets that were due when last heard of."""
         self.view_by_target: dict[TargetId, TargetView] = {}
 
     def pick(
@@ -160,12 +159,12 @@
         Returns:
             The target, or None if there is none left to try.
         """
+        due = self._pick_due(candidates, tried, terms)
+        if due is not None:
+            return replace(self._terms_of(due, terms), is_for_due=True)
         few = candidates
         if len(candidates) > _MOST_COMPARED:
             few = self._random.sample(candidates, _MOST_COMPARED)
-        if terms.may_try and self._random.random() < _TRIAL_SHARE:
-            # Somebody has to find out that a doubted target is well again.
-            terms = replace(terms, is_trial=True)
         best = self._cheapest(few, tried, terms)
         if best is None or self._is_out(best, terms):
             best = self._cheapest(candidates, tried, terms)
@@ -191,11 +190,15 @@
                 is_trial=told.is_trial,
                 log_latency=told.log_latency,
                 risk=told.risk,
+                is_due=told.is_due,
+                is_overdue=told.is_overdue,
                 told_at=now,
             )
+            self._note_due(TargetId(daemon, told.name), told.is_due)
 
     def note_sent(self, target: TargetId) -> None:
         """Count an attempt as under way."""
+        self._due.discard(target)
         self._own_by_target[target] = self._own_by_target.get(target, 0) + 1
 
     def note_ended(self, target: TargetId) -> None:
@@ -236,12 +239,51 @@
         for known in (self.view_by_target, self._avoidance_by_target):
             for target in [t for t in known if t not in targets]:
                 del known[target]
+        self._due = {target for target in self._due if target in targets}
 
     def mark_ejected(self, target: TargetId) -> None:
         """Note that a guard has just refused work for an ejected target."""
         view = self.view_by_target.get(target, TargetView(limit=1, busy=0))
         self.view_by_target[target] = replace(view, is_ejected=True)
 
+    def _note_due(self, target: TargetId, is_due: bool) -> None:
+        if is_due:
+            self._due.add(target)
+        else:
+            self._due.discard(target)
+
+    def _pick_due(
+        self,
+        candidates: Sequence[Candidate],
+        tried: Container[TargetId],
+        terms: PickTerms,
+    ) -> Candidate | None:
+        """Pick one of the targets that are due for this request; None if none is."""
+        if not self._due:
+            return None
+        due = [
+            c
+            for c in candidates
+            if c.target in self._due
+            and c.target not in tried
+            and self._is_due(c, terms)
+        ]
+        return self._random.choice(due) if due else None
+
+    def _is_due(self, candidate: Candidate, terms: PickTerms) -> bool:
+        view = self.view_by_target[candidate.target]
+        if terms.now - view.told_at > _DUE_TOLD_SECONDS:
+            return False
+        if self._is_avoided(candidate.target, terms.now):
+            return False
+        if not terms.may_try and (view.is_ejected or not view.is_overdue):
+            return False
+        return self._is_free(candidate)
+
+    def _is_avoided(self, target: TargetId, now: float) -> bool:
+        avoidance = self._avoidance_by_target.get(target)
+        return avoidance is not None and now < avoidance.until
+
     def _terms_of(self, candidate: Candidate, terms: PickTerms) -> Pick:
         view = self.view_by_target.get(candidate.target)
         is_free = self._is_free(candidate)
@@ -301,8 +343,7 @@
 
     def _is_out(self, candidate: Candidate, terms: PickTerms) -> bool:
         """Tell whether a target is taken only where there is no other."""
-        avoidance = self._avoidance_by_target.get(candidate.target)
-        if avoidance is not None and terms.now < avoidance.until:
+        if self._is_avoided(candidate.target, terms.now):
             return True
         view = self.view_by_target.get(candidate.target)
         if view is None:
@@ -329,7 +370,5 @@
 
     def _risk(self, view: TargetView, terms: PickTerms) -> float:
         risk = faded_risk(view.risk, terms.now - view.told_at)
-        if terms.is_trial and _LEAST_TRIAL_RISK < risk < _MOST_TRIAL_RISK:
-            return -_TRIAL_SECONDS
         loss = _RETRIED_FAILURE_SECONDS if terms.may_repeat else _FAILURE_SECONDS
         return risk * loss
--- a/packages/core/src/bramleyglade_core/model/exchange.py
+++ b/packages/core/src/bramleyglade_core/model/exchange.py
@@ -48,6 +48,9 @@
     """Probability of failure above which the guard is to refuse, 0 to 1."""
     objective_seconds: float | None = None
     """Time left within the latency objective, in seconds; None without one."""
+    is_for_due: bool = False
+    """True if the front chose the target because it was due for a request; while it
+    still is, the guard takes the attempt whatever the risk."""
     sent_at: float = 0.0
     """When the front sent it, by the front's own clock, in seconds."""
 
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -48,6 +48,10 @@
     """Probability that the target fails the next request, 0 to 1."""
     calls: tuple[CallsTold, ...] = ()
     """What its runs call."""
+    is_due: bool = False
+    """Whether the next request that may be repeated should go to it."""
+    is_overdue: bool = False
+    """Whether the next request of any kind should go to it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -110,6 +110,13 @@
     longest_ejection_seconds: float = 120.0
     trial_successes: int = 3
     """Good answers in a row that end an ejection's trial."""
+    due_seconds: float = 1.0
+    """Time without a request after which a target gets the next one that may be
+    repeated, whatever is held against it; half of the 2 s over which users count the
+    targets in use."""
+    longest_idle_seconds: float = 1.6
+    """The same for the next request of any kind, unless the target is ejected; the rest
+    of the 2 s is for the word to the fronts and the next request to come."""
 
     def __post_init__(self) -> None:
         _require(self.slow_ratio > 1, "slow_ratio must be above 1")
@@ -119,6 +126,10 @@
         )
         _require(self.threshold > 0, "threshold must be above 0")
         _require(self.trial_successes >= 1, "trial_successes must be at least 1")
+        _require(
+            0 < self.due_seconds <= self.longest_idle_seconds,
+            "due_seconds must lie between 0 and longest_idle_seconds",
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -366,6 +366,7 @@
             priority=request.priority,
             must_start_now=pick.is_free and self._misrouted < _MOST_PICKY,
             most_risk=pick.most_risk if self._misrouted < _MOST_WARY else 1.0,
+            is_for_due=pick.is_for_due,
             objective_seconds=self._objective_left(),
             sent_at=self._context.clock(),
         )
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -32,6 +32,10 @@
 _LOOK_SECONDS = 0.5
 """Time between two looks at the targets."""
 
+_DUE_LOOK_SECONDS = 0.1
+"""Time between two looks whether a target is due for a request: a tenth of the time
+after which one is (`health.due_seconds`)."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -169,6 +173,13 @@
                 await runner.tell_speed()
             self.note_targets()
 
+    async def watch_idle(self) -> None:
+        """Tell the fronts of targets that are due for a request, for ever."""
+        while True:
+            await curio.sleep(_DUE_LOOK_SECONDS)
+            for runner in list(self.runner_by_name.values()):
+                await runner.tell_due()
+
     def note_targets(self) -> None:
         """Tell the front in this process the load and health of all targets."""
         name = self._context.settings.name
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -11,6 +11,7 @@
 from bramleyglade_core.decisions.cold_gate import ColdGate
 from bramleyglade_core.decisions.ejection import HealthPhase
 from bramleyglade_core.decisions.failure_filter import FailureFilter
+from bramleyglade_core.decisions.idle_bound import IdleBound
 from bramleyglade_core.decisions.ramp import ConcurrencyRamp
 from bramleyglade_core.decisions.speed_meter import SpeedMeter
 from bramleyglade_core.decisions.timely_queue import TimelyQueue
@@ -48,6 +49,9 @@
 """Change of a target's latency that all fronts are told of; the smoothed latency of a
 target that stays as it is moves by less."""
 
+_DUE_REPEAT_SECONDS = 0.5
+"""Time after which fronts are told again that a target is due, as links may be new."""
+
 _TRIALS_AT_ONCE = 1
 """Requests that a target on trial runs at once."""
 
@@ -90,12 +94,13 @@
         self._seconds_per_exchange: float | None = None
         self._overdue_level_by_worker: dict[TargetWorker, int] = {}
         self.last_traffic_at = -math.inf
-        self.last_sent_at = context.clock()
-        """When the target was last sent a request, or was first heard of."""
+        self.idle = IdleBound(context.settings.health, context.clock())
+        self._due_told_at = -math.inf
+        self._is_overdue_told = False
         self._is_idle_reported = False
         self.reported_instance = ""
         self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
-        """Called with the target's view when it has failed or changed its speed."""
+        """Called with the target's view when all fronts should know it now."""
         self._has_failed = False
         self._doubted_at = -math.inf
 
@@ -122,6 +127,8 @@
             log_latency=self._log_latency(),
             risk=self.failures.risk(self.clock()),
             calls=self._context.retry_budgets.calls(),
+            is_due=self._is_free and self.idle.is_due(self.clock()),
+            is_overdue=self._is_free and self.idle.is_overdue(self.clock()),
         )
 
     def start_hop(self, item: QueuedAttempt) -> Hop:
@@ -254,6 +261,31 @@
         if self.on_doubted is not None:
             await self.on_doubted(self.view())
 
+    async def tell_due(self) -> None:
+        """Tell the fronts while the target is due for a request."""
+        now = self.clock()
+        if self.announced.is_draining or not self.idle.is_due(now):
+            return
+        is_overdue = self.idle.is_overdue(now)
+        is_news = is_overdue and not self._is_overdue_told
+        if now - self._due_told_at < _DUE_REPEAT_SECONDS and not is_news:
+            return
+        view = self.view()
+        if not view.is_due:
+            return
+        self._due_told_at = now
+        self._is_overdue_told = is_overdue
+        if self.on_doubted is not None:
+            await self.on_doubted(view)
+
+    async def _tell_no_longer_due(self) -> None:
+        """Tell the fronts that a target which they were told to be due has got one."""
+        was_told = self._due_told_at > -math.inf
+        self._due_told_at = -math.inf
+        self._is_overdue_told = False
+        if was_told and self.on_doubted is not None:
+            await self.on_doubted(self.view())
+
     async def tell_speed(self) -> None:
         """Tell the fronts if the target has become much slower or faster."""
         known, now = self._told_log_latency, self._log_latency()
@@ -321,7 +353,7 @@
     def report_idle(self) -> None:
         """Log once that the target has had no request for long, and why it may be."""
         now = self.clock()
-        idle = now - self.last_sent_at
+        idle = self.idle.idle_seconds(now)
         if idle < _REPORTED_IDLE_SECONDS or self._is_idle_reported:
             return
         if self.announced.is_draining or not self._context.is_zone_in_use:
@@ -344,7 +376,7 @@
     def _note_sent(self) -> None:
         now = self.clock()
         self.cold.note_sent(now)
-        idle, self.last_sent_at = now - self.last_sent_at, now
+        idle = self.idle.note_sent(now)
         self._context.telemetry.note_idle(self.announced.service, idle)
         if self._is_idle_reported:
             self._is_idle_reported = False
@@ -362,6 +394,7 @@
         self.ramp = ConcurrencyRamp(announced.slots)
         self.failures = FailureFilter()
         self.speed = SpeedMeter()
+        self.idle = IdleBound(self._context.settings.health, self.clock())
         self.health.restart()
 
     async def close(self) -> None:
@@ -391,11 +424,21 @@
         if self.announced.is_draining:
             raise AttemptRefused(ErrorCode.TARGET_DRAINING, "the target is leaving")
         phase = self.health.phase(self.clock())
-        is_on_trial = phase is HealthPhase.TRIAL and item.offered.is_idempotent
-        if phase is HealthPhase.HEALTHY or (is_on_trial and self.busy == 0):
+        if phase is HealthPhase.HEALTHY:
+            return
+        is_trial = phase is HealthPhase.TRIAL and item.offered.is_idempotent
+        if self.busy == 0 and (is_trial or self._takes_for_due(item, phase)):
             return
         raise AttemptRefused(ErrorCode.TARGET_EJECTED, "the target is ejected")
 
+    def _takes_for_due(self, item: QueuedAttempt, phase: HealthPhase) -> bool:
+        """Tell whether the target is still due for a request that came for that."""
+        if not item.offered.is_for_due:
+            return False
+        if item.offered.is_idempotent:
+            return self.idle.is_due(self.clock())
+        return phase is not HealthPhase.EJECTED and self.idle.is_overdue(self.clock())
+
     async def _expire(self, item: QueuedAttempt) -> None:
         """Refuse an attempt that still waits when it can't be served in time."""
         latest = item.deadline - _LEAST_WORK_SHARE * (self._seconds_per_exchange or 0.0)
@@ -407,7 +450,9 @@
     def _check_terms(self, item: QueuedAttempt) -> None:
         """Refuse what the front would rather send elsewhere."""
         offered = item.offered
-        if self.failures.risk(self.clock()) > offered.most_risk:
+        phase = self.health.phase(self.clock())
+        is_risky = self.failures.risk(self.clock()) > offered.most_risk
+        if is_risky and not self._takes_for_due(item, phase):
             raise AttemptRefused(ErrorCode.TARGET_SUSPECT, "the target fails often")
         if offered.must_start_now and not self._is_free:
             raise AttemptRefused(ErrorCode.TARGET_BUSY, "no slot is free")
@@ -472,6 +517,7 @@
                 await self._refuse(item, code, "it waited past its deadline")
                 continue
             self._note_sent()
+            await self._tell_no_longer_due()
             return item
         return None
 
--- a/tests/test_idle_targets.py
+++ b/tests/test_idle_targets.py
@@ -17,6 +17,7 @@
 from bramleyglade_daemon.guard.outcomes import OutcomeDesk
 from bramleyglade_daemon.guard.target_runner import TargetRunner
 from bramleyglade_standins.memory_store import MemoryStore
+from tests.failing_service import FailingService, Load
 
 ANNOUNCED = TargetAnnouncement("t", "s", Address("127.0.0.1", 1), 4)
 
@@ -42,3 +43,22 @@
     assert [r.seconds for r in reports] == [2.0]
     assert reports[0].phase == "healthy"
     assert reports[0].risk > 0.1
+
+
+_LOADS = {
+    "calm day": {},
+    "long spells": {"ill_seconds": 12.0, "well_seconds": 12.0},
+    "few repeatable requests": {"repeatable_share": 0.02},
+    "nothing repeatable": {"repeatable_share": 0.0},
+    "targets that never fail": {"ill_seconds": 0.0},
+    "more targets": {"targets": 60, "fronts": 60, "per_second": 150.0},
+}
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("load", _LOADS)
+def test_sound_target_is_never_left_without_a_request_for_two_seconds(load, seed):
+    """Chance alone brought a target back that had once failed, and FLOOR broke."""
+    service = FailingService(Load(seed=seed, **_LOADS[load]))
+    service.play()
+    assert service.idle_spans(window=2.0, settle_seconds=6.0) == []
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -10,9 +10,11 @@
 import pytest
 
 from bramleyglade_adapters.http.simple_client import AnswerLost, SimpleClient
+from bramleyglade_core.decisions.idle_bound import IdleBound
 from bramleyglade_core.model.errors import ErrorCode
 from bramleyglade_core.model.exchange import AttemptOffered, Header
 from bramleyglade_core.model.identifiers import AttemptId, DaemonId
+from bramleyglade_core.model.settings import HealthSettings
 from bramleyglade_core.model.verdict import Verdict
 from bramleyglade_daemon.guard.guard import LocalGuardPort
 from bramleyglade_standins.local_fleet import KEY, free_address
@@ -147,6 +149,39 @@
     )
 
 
+DUE = {"due_seconds": 1e-9, "longest_idle_seconds": 1e9}
+OVERDUE = {"due_seconds": 1e-9, "longest_idle_seconds": 1e-9}
+NOT_DUE = {"due_seconds": 1e9, "longest_idle_seconds": 1e9}
+
+
+@pytest.mark.parametrize(
+    ("idle_settings", "changes", "is_taken"),
+    [
+        (DUE, {"is_for_due": True, "is_idempotent": True}, True),
+        (DUE, {"is_for_due": True}, False),
+        (DUE, {"is_idempotent": True}, False),
+        (OVERDUE, {"is_for_due": True}, True),
+        (NOT_DUE, {"is_for_due": True, "is_idempotent": True}, False),
+    ],
+)
+def test_doubted_target_takes_a_request_that_it_is_due_for_and_no_other(
+    run_fleet, idle_settings, changes, is_taken
+):
+    async def scenario(fleet):
+        runner = fleet.daemons[0].guard.runner_by_name["target-0"]
+        for _ in range(9):
+            runner.failures.note(True, runner.clock())
+        runner.idle = IdleBound(HealthSettings(**idle_settings), 0.0)
+        offered = replace(write_attempt("trial"), most_risk=0.2, **changes)
+        port = LocalGuardPort(fleet.daemons[0].guard, 65_536)
+        told = await (await port.offer(offered)).receive()
+        assert fleet.runs("trial") == is_taken
+        if not is_taken:
+            assert told.code is ErrorCode.TARGET_SUSPECT
+
+    run_fleet(scenario, daemons=1, zones=1)
+
+
 def test_answer_to_an_unknown_attempt_is_fenced_and_true(run_fleet):
     """A front that asks about an attempt which never came gets it fenced."""
 
