End a front's avoidance of a target with its reason, not after up to 30 s

A front that can't get through to a target avoids it, twice as long each time, and nothing but an answer of that target ends it: what is avoided gives no answer. (1) After a cut, targets stayed avoided for up to 30 s though the link was open again: the greeting of a daemon now ends it. (2) A target that refuses connections was avoided by each front that met it; its guard knows that already and tells all fronts (doubt, bound on the gap), so only a lost way to the guard is a front's own matter.

--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -234,6 +234,11 @@
         """Forget that a target was avoided, since it has answered."""
         self._avoidance_by_target.pop(target, None)
 
+    def trust_daemon(self, name: str) -> None:
+        """Forget that targets were avoided, since their daemon is reached again."""
+        for target in [t for t in self._avoidance_by_target if t.daemon == name]:
+            del self._avoidance_by_target[target]
+
     def keep_only(self, targets: Container[TargetId]) -> None:
         """Drop what is known of targets that have left."""
         for known in (self.view_by_target, self._avoidance_by_target):
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -49,8 +49,6 @@
 _PASSING_CODES = frozenset({ErrorCode.TARGET_BUSY, ErrorCode.TARGET_SUSPECT})
 """Refusals after which the same target may be picked again."""
 
-_UNREACHABLE_CODES = frozenset({ErrorCode.PEER_LOST, ErrorCode.TARGET_REFUSED})
-
 _NO_TARGET_RETRY_SECONDS = 0.4
 """Time in which a report of a target, or a heartbeat of its guard, may come; callers
 of the users' platform wait no longer than a third of the time they have left."""
@@ -271,7 +269,7 @@
         Raises:
             AttemptRefused: If the caller is to be told of the failure instead.
         """
-        if failed.code in _UNREACHABLE_CODES:
+        if failed.code is ErrorCode.PEER_LOST:
             self._note_unreachable()
         if failed.code is ErrorCode.TARGET_EJECTED and self._candidate is not None:
             self._context.picker.mark_ejected(self._candidate.target)
--- a/tests/test_idle_targets.py
+++ b/tests/test_idle_targets.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 
 from bramleyglade_adapters.telemetry import Telemetry
 from bramleyglade_core.decisions.attempt_table import AttemptTable
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.decisions.picker import PickTerms
 from bramleyglade_core.model.announcements import TargetAnnouncement
 from bramleyglade_core.model.entities import Zone
-from bramleyglade_core.model.identifiers import Address
+from bramleyglade_core.model.identifiers import Address, TargetId
 from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_daemon.fleet.context import Context
 from bramleyglade_daemon.guard.outcomes import OutcomeDesk
 from bramleyglade_daemon.guard.target_runner import TargetRunner
+from bramleyglade_standins.local_fleet import free_address
 from bramleyglade_standins.memory_store import MemoryStore
 from tests.failing_service import FailingService, Load
 
@@ -62,3 +65,46 @@
     service = FailingService(Load(seed=seed, **_LOADS[load]))
     service.play()
     assert service.idle_spans(window=2.0, settle_seconds=6.0) == []
+
+
+def picks_when_due(fleet, index):
+    """Tell whether the first front picks a target that is due for a request."""
+    context = fleet.daemons[0].context
+    candidates = context.directory.candidates("catalogue")
+    view = fleet.daemons[index].guard.runner_by_name[f"target-{index}"].view()
+    due = replace(view, is_due=True, is_overdue=True)
+    context.take_views(f"vm-{index}", [due])
+    pick = context.picker.pick(candidates, frozenset(), PickTerms(context.clock()))
+    return pick.candidate.target.name == f"target-{index}"
+
+
+def test_target_that_refused_connections_is_tried_again_when_due(run_fleet):
+    """Each front that was refused avoided the target for longer and longer."""
+
+    async def scenario(fleet):
+        await fleet.announcers[1].cancel()
+        known = fleet.targets[1].announced
+        await fleet.daemons[1].guard.announce(replace(known, address=free_address()))
+        runner = fleet.daemons[1].guard.runner_by_name["target-1"]
+        while runner.failures.risk(runner.clock()) < 0.1:
+            assert (await fleet.call(0, path="/lookup/1")).status == 200
+        assert picks_when_due(fleet, 1)
+
+    run_fleet(scenario, daemons=2, zones=1)
+
+
+def test_target_is_used_again_as_soon_as_its_daemon_is_reached(run_fleet):
+    """Fronts went on avoiding targets for up to 30 s after a cut had ended."""
+
+    async def scenario(fleet):
+        picker = fleet.daemons[0].context.picker
+        target = TargetId("vm-1", "target-1")
+        fleet.blocked.add(frozenset((0, 1)))
+        await fleet.cut_links(0, 1)
+        picker.avoid(target, 9, fleet.daemons[0].context.clock() + 1e6)
+        assert not picks_when_due(fleet, 1)
+        fleet.blocked.clear()
+        await fleet.until(lambda: fleet.links(0, 1) or fleet.links(1, 0))
+        await fleet.until(lambda: picks_when_due(fleet, 1))
+
+    run_fleet(scenario, daemons=2, zones=1)
