Try a target less often while it goes on failing

Cause: each failing target was tried once a second for as long as its spell lasted. Change: the wait doubles with each failure, up to 3 s, and goes back with the first good answer; a target that answers well gets a request after 1.4 s, of any kind after 1.7 s.

--- a/packages/core/src/bramleyglade_core/decisions/idle_bound.py
+++ b/packages/core/src/bramleyglade_core/decisions/idle_bound.py
@@ -19,6 +19,8 @@
     def __init__(self, settings: HealthSettings, now: float) -> None:
         self._settings = settings
         self._sent_at = now
+        self._patience = 1.0
+        """Factor on the times of the settings."""
 
     def note_sent(self, now: float) -> float:
         """Note that a request goes to the target.
@@ -33,14 +35,20 @@
         self._sent_at = now
         return idle
 
+    def note_outcome(self, is_good: bool) -> None:
+        """Take in how a request ended; a target that goes on failing is tried less."""
+        most = self._settings.longest_trial_seconds / self._settings.due_seconds
+        self._patience = 1.0 if is_good else min(most, 2 * self._patience)
+
     def idle_seconds(self, now: float) -> float:
         """Return the time since the last request."""
         return now - self._sent_at
 
     def is_due(self, now: float) -> bool:
         """Tell whether the next request that may be repeated should go here."""
-        return self.idle_seconds(now) >= self._settings.due_seconds
+        return self.idle_seconds(now) >= self._patience * self._settings.due_seconds
 
     def is_overdue(self, now: float) -> bool:
         """Tell whether the next request of any kind should go here."""
-        return self.idle_seconds(now) >= self._settings.longest_idle_seconds
+        longest = self._patience * self._settings.longest_idle_seconds
+        return self.idle_seconds(now) >= longest
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -110,13 +110,15 @@
     longest_ejection_seconds: float = 120.0
     trial_successes: int = 3
     """Good answers in a row that end an ejection's trial."""
-    due_seconds: float = 1.0
+    due_seconds: float = 1.4
     """Time without a request after which a target gets the next one that may be
-    repeated, whatever is held against it; half of the 2 s over which users count the
-    targets in use."""
-    longest_idle_seconds: float = 1.6
-    """The same for the next request of any kind, unless the target is ejected; the rest
-    of the 2 s is for the word to the fronts and the next request to come."""
+    repeated, whatever is held against it. Users count the targets in use over 2 s;
+    the rest of them is for the word to the fronts and for such a request to come."""
+    longest_idle_seconds: float = 1.7
+    """The same for the next request of any kind, unless the target is ejected."""
+    longest_trial_seconds: float = 3.0
+    """What `due_seconds` grows to, by doubling, while a target fails each request;
+    users count a target that has failed as sound again some seconds later."""
 
     def __post_init__(self) -> None:
         _require(self.slow_ratio > 1, "slow_ratio must be above 1")
@@ -130,6 +132,10 @@
             0 < self.due_seconds <= self.longest_idle_seconds,
             "due_seconds must lie between 0 and longest_idle_seconds",
         )
+        _require(
+            self.due_seconds <= self.longest_trial_seconds,
+            "longest_trial_seconds must be at least due_seconds",
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -209,6 +209,7 @@
         now = self.clock()
         self.last_traffic_at = now
         self.failures.note(is_error, now)
+        self.idle.note_outcome(not is_error)
         if is_error:
             self._has_failed = True
             self.health.note_failure(now)
@@ -248,6 +249,7 @@
         now = self.clock()
         self._has_failed = True
         self.failures.note(True, now)
+        self.idle.note_outcome(False)
         self.health.note_failure(now)
         self.ramp.note_bad()
 
--- a/tests/failing_service.py
+++ b/tests/failing_service.py
@@ -105,6 +105,9 @@
         self.load = load
         self.now = 0.0
         self.failed = 0
+        """Requests that failed for good."""
+        self.ran_badly = 0
+        """Requests that a target failed at, those that were repeated included."""
         self._random = random.Random(load.seed)
         self.targets = [ModelTarget(i, load, self._random) for i in range(load.targets)]
         self._by_id = {t.candidate.target: t for t in self.targets}
@@ -181,6 +184,8 @@
         self._pickers[front].note_ended(target.candidate.target)
         is_bad = target.is_ill(self.now) and self._random.random() < self.load.fails
         target.failures.note(is_bad, self.now)
+        target.idle.note_outcome(not is_bad)
+        self.ran_badly += is_bad
         self._tell(target, range(self.load.fronts) if is_bad else [front])
         if is_bad and may_repeat:
             self._send(front, is_repeatable=True, is_repeat=True)
--- a/tests/test_idle_targets.py
+++ b/tests/test_idle_targets.py
@@ -10,10 +10,12 @@
 from bramleyglade_adapters.telemetry import Telemetry
 from bramleyglade_core.decisions.attempt_table import AttemptTable
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.decisions.idle_bound import IdleBound
 from bramleyglade_core.decisions.picker import PickTerms
 from bramleyglade_core.model.announcements import TargetAnnouncement
 from bramleyglade_core.model.entities import Zone
 from bramleyglade_core.model.identifiers import Address, TargetId
+from bramleyglade_core.model.settings import HealthSettings
 from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_daemon.fleet.context import Context
 from bramleyglade_daemon.guard.outcomes import OutcomeDesk
@@ -108,3 +110,21 @@
         await fleet.until(lambda: picks_when_due(fleet, 1))
 
     run_fleet(scenario, daemons=2, zones=1)
+
+
+def test_target_that_goes_on_failing_is_tried_less_often():
+    """Trials of failing targets took the budget for repeats, and BUDGET broke."""
+    health = HealthSettings(
+        due_seconds=1.0, longest_idle_seconds=1.5, longest_trial_seconds=3.0
+    )
+    idle = IdleBound(health, 0.0)
+    idle.note_outcome(is_good=False)
+    assert not idle.is_due(1.9)
+    assert idle.is_due(2.0)
+    assert not idle.is_overdue(2.9)
+    idle.note_outcome(is_good=False)
+    idle.note_outcome(is_good=False)
+    assert not idle.is_due(2.9)
+    assert idle.is_due(3.0)
+    idle.note_outcome(is_good=True)
+    assert idle.is_due(1.0)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -151,7 +151,11 @@
 
 DUE = {"due_seconds": 1e-9, "longest_idle_seconds": 1e9}
 OVERDUE = {"due_seconds": 1e-9, "longest_idle_seconds": 1e-9}
-NOT_DUE = {"due_seconds": 1e9, "longest_idle_seconds": 1e9}
+NOT_DUE = {
+    "due_seconds": 1e9,
+    "longest_idle_seconds": 1e9,
+    "longest_trial_seconds": 1e9,
+}
 
 
 @pytest.mark.parametrize(
