Charge a repeat by the calls of runs that may be repeated, not of all runs

Cause: the calls per run that a repeat is charged with were the mean over all runs of the service. Searches call 1.4 times and may be repeated; issues, three in four of the runs, call nobody and never are. A repeat paid for 0.35 calls and made 1.4. Evidence: the test on the code before leaves nine repeats of ten at the service called after one repeated run (0.35 charged); now eight (1.4). Why it works: only runs that may be repeated count as makers of calls. Where others call too, a repeat is charged too much, which refuses repeats and never breaks the budget; the cap on that is three calls a run (one before, below what searches make).

--- a/packages/core/src/bramleyglade_core/decisions/retry_budget.py
+++ b/packages/core/src/bramleyglade_core/decisions/retry_budget.py
@@ -22,9 +22,10 @@
 _SLOTS_PER_WINDOW = 20
 """Steps in which a window slides; what is counted is off by one of them at most."""
 
-_MOST_CALLS_PER_RUN = 1.0
+_MOST_CALLS_PER_RUN = 3.0
 """Calls to one service that a repeated run is charged with at most. Requests of callers
-to routes open to all are taken for calls too, so more would be an overestimate."""
+to routes open to all are taken for calls too, and where they are many no repeat of
+another service would ever be paid for."""
 
 _LEAST_RUNS = 5
 """Runs from which on their calls are told; fewer say little."""
@@ -175,9 +176,15 @@
             budget.spend(part, now)
         return True
 
-    def note_run(self) -> None:
-        """Note that a target of this VM begins to run a request."""
-        self._runs += 1
+    def note_run(self, may_repeat: bool) -> None:
+        """Note that a target of this VM begins to run a request.
+
+        Args:
+            may_repeat: Whether the request may run again. Which runs make the calls
+                is not known; if those that are never repeated made none, the others
+                made all.
+        """
+        self._runs += may_repeat
 
     def note_call(self, service: str) -> None:
         """Note a request that a target of this VM may have sent while it ran one."""
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -195,9 +195,9 @@
         if worker in self._idle:
             self._idle.remove(worker)
 
-    def note_run(self) -> None:
+    def note_run(self, may_repeat: bool) -> None:
         """Take in that an attempt goes to the target now."""
-        self._context.retry_budgets.note_run()
+        self._context.retry_budgets.note_run(may_repeat)
 
     def note_head(self, seconds: float, is_error: bool) -> None:
         """Take in that the target has answered.
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -161,7 +161,7 @@
             raise AttemptRefused(ErrorCode.ATTEMPT_CANCELLED, "the front gave up")
         if not self._runner.attempts.start(item.offered.attempt):
             raise AttemptRefused(ErrorCode.ATTEMPT_FENCED, "the attempt was fenced")
-        self._runner.note_run()
+        self._runner.note_run(item.offered.is_idempotent)
 
     def _request_headers(self, item: QueuedAttempt) -> list[Header]:
         left = max(0.0, item.deadline - self._runner.clock())
--- a/tests/test_target_decisions.py
+++ b/tests/test_target_decisions.py
@@ -211,7 +211,7 @@
     budgets = RetryBudgets(settings, started_at=-100.0)
     beside_target = RetryBudgets(FrontSettings())
     for _ in range(10):
-        beside_target.note_run()
+        beside_target.note_run(may_repeat=True)
     for _ in range(5):
         beside_target.note_call("ledger")
     budgets.learn_calls("desk", beside_target.calls())
@@ -226,6 +226,22 @@
     assert budgets.try_spend("desk", False, 1.0)
 
 
+def test_calls_are_charged_to_the_runs_that_may_be_repeated():
+    """Searches call and issues don't; a repeat paid for the mean of both, and the
+    service that is called got more repeats than its budget.
+    """
+    budgets = RetryBudgets(FrontSettings(retry_floor=10), started_at=-100.0)
+    beside_target = RetryBudgets(FrontSettings())
+    for number in range(40):
+        beside_target.note_run(may_repeat=number % 4 == 0)
+    for _ in range(14):
+        beside_target.note_call("ledger")
+    budgets.learn_calls("desk", beside_target.calls())
+    assert budgets.try_spend("desk", True, 1.0)
+    left = sum(budgets.try_spend("ledger", False, 1.0) for _ in range(20))
+    assert left == 8  # 1.4 of ten are spent.
+
+
 @pytest.mark.parametrize(
     ("left", "typical", "expected"),
     [
