--- a/tests/test_target_decisions.py
+++ b/tests/test_target_decisions.py
@@ -227,9 +227,7 @@
 
 
 def test_calls_are_charged_to_the_runs_that_may_be_repeated():
-    """Searches call and issues don't; a repeat paid for the mean of both, and the
-    service that is called got more repeats than its budget.
-    """
+    """A repeat paid for the mean of all runs, and those it calls broke BUDGET."""
     budgets = RetryBudgets(FrontSettings(retry_floor=10), started_at=-100.0)
     beside_target = RetryBudgets(FrontSettings())
     for number in range(40):
