Bound what a target may send before and after its answer's head

A target that sent informational answers for ever held up the whole daemon: they are passed over in a loop, reads that never wait give no other task its turn, and no deadline was looked at. The new test was ended by its outer limit of 400 s (380 s of processor time) on the code before. The client for health checks and the store kept any body: the test on it had not ended after 20 s, when it was killed. Cause and class: a loop over what the other side sends whose only end is up to that side. Change: 32 informational answers and 16 MiB of body in that client, then the answer counts as malformed and the connection is closed. Looked at and sound by test, on safe and unsafe routes: endless header lines, one header, status line, chunks, chunk extension, trailers, body until close, bytes after the answer, bytes of no protocol (20 cases).

--- a/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
@@ -30,6 +30,10 @@
     from bramleyglade_core.model.exchange import Header
     from bramleyglade_core.model.identifiers import Address
 
+_MOST_INFORMATIONAL = 32
+"""Informational answers before the final one that are passed over. Servers send one or
+two (RFC 9110, 15.2); bytes that are always there to read would hold up all else."""
+
 AnswerPart = Union[AnswerStarted, AnswerContinued, AnswerEnded]
 
 
@@ -91,10 +95,15 @@
             AnswerBroken: If the answer is malformed or breaks off.
             OSError: If the connection breaks.
         """
-        while True:
+        for _ in range(_MOST_INFORMATIONAL + 1):
             part = _part(await self._next_event())
             if part is not None:
                 return part
+        raise AnswerBroken(
+            ErrorCode.ANSWER_MALFORMED,
+            f"more than {_MOST_INFORMATIONAL} informational answers",
+            Verdict.MAY_HAVE_RUN,
+        )
 
     def finish_exchange(self) -> bool:
         """Make ready for another exchange.
--- a/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
@@ -9,16 +9,22 @@
 
 from bramleyglade_adapters.http.client_connection import AnswerBroken, ClientConnection
 from bramleyglade_adapters.http.wire import first_header
+from bramleyglade_core.model.errors import ErrorCode
 from bramleyglade_core.model.exchange import (
     AnswerContinued,
     AnswerStarted,
     Header,
 )
+from bramleyglade_core.model.verdict import Verdict
 
 if TYPE_CHECKING:
     from bramleyglade_core.model.identifiers import Address
 
 
+_MOST_BODY_BYTES = 16_777_216
+"""Largest body of an answer; a list of the store's objects has a few megabytes."""
+
+
 @dataclass(frozen=True, slots=True)
 class WholeAnswer:
     """Status, headers and body of an answer."""
@@ -134,7 +140,11 @@
             await connection.end_body()
         started = await connection.receive()
         assert isinstance(started, AnswerStarted)
-        pieces = []
+        received = bytearray()
         while isinstance(part := await connection.receive(), AnswerContinued):
-            pieces.append(part.data)
-        return WholeAnswer(started.status, started.headers, b"".join(pieces))
+            received += part.data
+            if len(received) > _MOST_BODY_BYTES:
+                detail = f"more than {_MOST_BODY_BYTES} bytes of body"
+                code = ErrorCode.ANSWER_MALFORMED
+                raise AnswerBroken(code, detail, Verdict.MAY_HAVE_RUN)
+        return WholeAnswer(started.status, started.headers, bytes(received))
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import socket
+import threading
 from dataclasses import replace
 
 import curio
 import pytest
 
-from bramleyglade_standins.local_fleet import free_address
+from bramleyglade_adapters.http.simple_client import AnswerLost, SimpleClient
+from bramleyglade_core.model.entities import Service
+from bramleyglade_core.model.identifiers import Address
+from bramleyglade_standins.local_fleet import first_ticket, free_address
 
 OK = b"HTTP/1.1 200 OK\r\n"
 SONG = b"content-length: 4\r\n\r\nsong"
@@ -129,3 +134,101 @@
         assert len(connections) == 2
 
     run_fleet(scenario, daemons=1, zones=1)
+
+
+ENDLESS_SECONDS = 30.0
+"""Time after which an endless target ends by itself, as the test has failed."""
+
+ENDLESS_ANSWERS = {
+    "header": (OK, b"x-filler: " + b"a" * 8_192 + b"\r\n"),
+    "header line": (OK + b"x-filler: ", b"a" * 8_192),
+    "status line": (b"HTTP/1.1 200 ", b"a" * 8_192),
+    "informational answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 256),
+    "no protocol": (b"", b"\x00" * 8_192),
+    "body until close": (OK + b"connection: close\r\n\r\n", b"a" * 8_192),
+    "chunks": (
+        OK + b"transfer-encoding: chunked\r\n\r\n",
+        b"2000\r\n" + b"a" * 8_192 + b"\r\n",
+    ),
+    "chunk extension": (OK + b"transfer-encoding: chunked\r\n\r\n2;", b"a" * 8_192),
+    "trailers": (
+        OK + b"transfer-encoding: chunked\r\n\r\n4\r\nsong\r\n0\r\n",
+        b"x-filler: " + b"a" * 8_192 + b"\r\n",
+    ),
+    "after the answer": (OK + SONG, b"a" * 8_192),
+}
+
+
+class EndlessTarget:
+    """A server with a thread of its own, so that bytes are always there to read."""
+
+    def __init__(self, start: bytes, piece: bytes) -> None:
+        self.closed = threading.Event()
+        self._start, self._piece = start, piece
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname())
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        sock, _ = self._listener.accept()
+        self._listener.close()
+        sock.settimeout(ENDLESS_SECONDS)
+        try:
+            sock.recv(65_536)
+            sock.sendall(self._start)
+            while True:
+                sock.sendall(self._piece)
+        except OSError:
+            self.closed.set()
+        finally:
+            sock.close()
+
+
+@pytest.mark.parametrize("path", ["/songs/1", "/lookup/1"])
+@pytest.mark.parametrize("form", ENDLESS_ANSWERS)
+def test_target_that_sends_without_end_is_closed_and_stops_nobody(
+    run_fleet, form, path
+):
+    async def ask(fleet):
+        try:
+            return await fleet.call(path=path)
+        except AnswerLost:
+            return None  # An answer that breaks off does not look whole.
+
+    async def scenario(fleet):
+        target = EndlessTarget(*ENDLESS_ANSWERS[form])
+        await fleet.announcers[0].cancel()
+        announced = replace(fleet.targets[0].announced, address=target.address)
+        await fleet.daemons[0].guard.announce(announced)
+        endless = await curio.spawn(ask, fleet)
+        answer = await endless.join()
+        if form == "after the answer":
+            assert (answer.status, answer.body) == (200, b"song")
+        elif answer is not None:
+            assert answer.status in (502, 504)
+        await fleet.until(target.closed.is_set)
+
+    run_fleet(scenario, daemons=1, zones=1, ticket=hasty_ticket())
+
+
+def hasty_ticket():
+    """The first ticket, with a short timeout of its service."""
+    ticket = first_ticket(zones=1)
+    entities = [
+        replace(e, timeout_seconds=0.5) if isinstance(e, Service) else e
+        for e in ticket.entities
+    ]
+    return replace(ticket, entities=tuple(entities))
+
+
+def test_simple_client_gives_up_on_a_body_without_end():
+    """Health checks go out by this client, and kept all that came."""
+    target = EndlessTarget(*ENDLESS_ANSWERS["body until close"])
+
+    async def ask():
+        client = SimpleClient(target.address)
+        with pytest.raises(AnswerLost, match="bytes of body"):
+            await client.request("GET", "/health", timeout_seconds=ENDLESS_SECONDS)
+
+    curio.run(ask)
+    assert target.closed.wait(ENDLESS_SECONDS)
