Tell the fronts of a due target when that changes, after its slot is taken

Cause: found in review. The word that a target had got its request went out between taking the request from the queue and taking a slot for it; a link that is slow to write would have let another request take the same slot. And an idle fleet said twice a second of each target that it is due, over links between zones that are priced. Change: one word when a target becomes due, one when it is for any request, one when it has had one; heartbeats repeat it to the neighbours. Also a test that an ejected target gets what it is due for, and one on trial requests of any kind (it failed before by construction: only idempotent ones were let in).

--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -54,8 +54,8 @@
 and the others would get nothing. It is less than the wait behind one full target."""
 
 _DUE_TOLD_SECONDS = 1.0
-"""Age up to which the word that a target is due holds; guards repeat it twice as often
-while it is."""
+"""Age up to which the word that a target is due holds; heartbeats repeat it about
+twice in that time (`peers.heartbeat_seconds`)."""
 
 _UNKNOWN_RISK = 0.2
 """Risk up to which a target is taken of which this front knows nothing."""
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import curio
@@ -49,9 +50,6 @@
 """Change of a target's latency that all fronts are told of; the smoothed latency of a
 target that stays as it is moves by less."""
 
-_DUE_REPEAT_SECONDS = 0.5
-"""Time after which fronts are told again that a target is due, as links may be new."""
-
 _TRIALS_AT_ONCE = 1
 """Requests that a target on trial runs at once."""
 
@@ -62,6 +60,15 @@
 _LOG = logging.getLogger(__name__)
 
 
+class _Due(Enum):
+    """Whether a target should get the next request."""
+
+    NO = "no"
+    FOR_REPEATABLE = "repeatable"
+    """The next one that may be repeated."""
+    FOR_ANY = "any"
+
+
 class TargetRunner:
     """Counts the slots of a target; the only place that sends it work."""
 
@@ -95,8 +102,7 @@
         self._overdue_level_by_worker: dict[TargetWorker, int] = {}
         self.last_traffic_at = -math.inf
         self.idle = IdleBound(context.settings.health, context.clock())
-        self._due_told_at = -math.inf
-        self._is_overdue_told = False
+        self._due_told = _Due.NO
         self._is_idle_reported = False
         self.reported_instance = ""
         self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
@@ -117,6 +123,7 @@
     def view(self) -> TargetViewTold:
         """Return what fronts may know of the target."""
         phase = self.health.phase(self.clock())
+        due = self._due()
         return TargetViewTold(
             name=self.announced.name,
             service=self.announced.service,
@@ -127,8 +134,8 @@
             log_latency=self._log_latency(),
             risk=self.failures.risk(self.clock()),
             calls=self._context.retry_budgets.calls(),
-            is_due=self._is_free and self.idle.is_due(self.clock()),
-            is_overdue=self._is_free and self.idle.is_overdue(self.clock()),
+            is_due=due is not _Due.NO,
+            is_overdue=due is _Due.FOR_ANY,
         )
 
     def start_hop(self, item: QueuedAttempt) -> Hop:
@@ -264,30 +271,26 @@
             await self.on_doubted(self.view())
 
     async def tell_due(self) -> None:
-        """Tell the fronts while the target is due for a request."""
-        now = self.clock()
-        if self.announced.is_draining or not self.idle.is_due(now):
+        """Tell the fronts that the target is due for a request, and when it had one."""
+        if self.announced.is_draining or not self._context.is_zone_in_use:
             return
-        is_overdue = self.idle.is_overdue(now)
-        is_news = is_overdue and not self._is_overdue_told
-        if now - self._due_told_at < _DUE_REPEAT_SECONDS and not is_news:
+        now = self.clock()
+        if self._due_told is _Due.NO and not self.idle.is_due(now):
             return
-        view = self.view()
-        if not view.is_due:
+        due = self._due()
+        if due is self._due_told:
             return
-        self._due_told_at = now
-        self._is_overdue_told = is_overdue
+        self._due_told = due
         if self.on_doubted is not None:
-            await self.on_doubted(view)
-
-    async def _tell_no_longer_due(self) -> None:
-        """Tell the fronts that a target which they were told to be due has got one."""
-        was_told = self._due_told_at > -math.inf
-        self._due_told_at = -math.inf
-        self._is_overdue_told = False
-        if was_told and self.on_doubted is not None:
             await self.on_doubted(self.view())
 
+    def _due(self) -> _Due:
+        now = self.clock()
+        if not self.idle.is_due(now) or not self._is_free:
+            return _Due.NO
+        is_overdue = self.idle.is_overdue(now)
+        return _Due.FOR_ANY if is_overdue else _Due.FOR_REPEATABLE
+
     async def tell_speed(self) -> None:
         """Tell the fronts if the target has become much slower or faster."""
         known, now = self._told_log_latency, self._log_latency()
@@ -492,6 +495,10 @@
 
     async def start_work(self) -> None:
         """Hand waiting attempts to connections while slots are free."""
+        await self._fill_slots()
+        await self.tell_due()
+
+    async def _fill_slots(self) -> None:
         while len(self._running) < self._limit():
             item = await self._take_item()
             if item is None:
@@ -519,7 +526,6 @@
                 await self._refuse(item, code, "it waited past its deadline")
                 continue
             self._note_sent()
-            await self._tell_no_longer_due()
             return item
         return None
 
--- a/tests/failing_service.py
+++ b/tests/failing_service.py
@@ -58,6 +58,7 @@
         self.candidate = Candidate(target, f"z{index % load.zones}", self.announced)
         self.failures = FailureFilter()
         self.idle = IdleBound(HealthSettings(), 0.0)
+        self.due_told = (False, False)
         self.running = 0
         self.sent_at: list[float] = []
         self.spells = _spells(load, randomness)
@@ -166,13 +167,11 @@
     def _run(
         self, front: int, target: ModelTarget, is_repeatable: bool, is_repeat: bool
     ) -> None:
-        was_due = target.idle.is_due(self.now)
         target.idle.note_sent(self.now)
         target.sent_at.append(self.now)
         target.running += 1
         self._pickers[front].note_sent(target.candidate.target)
-        if was_due:
-            self._tell(target, range(self.load.fronts))
+        self._tell_due(target)
 
         def answer() -> None:
             self._answer(front, target, is_repeatable and not is_repeat)
@@ -194,10 +193,15 @@
 
     def _look(self) -> None:
         for target in self.targets:
-            if target.view(self.now).is_due:
-                self._tell(target, range(self.load.fronts))
+            self._tell_due(target)
         self._after(LOOK_SECONDS, self._look)
 
+    def _tell_due(self, target: ModelTarget) -> None:
+        view = target.view(self.now)
+        if (view.is_due, view.is_overdue) != target.due_told:
+            target.due_told = (view.is_due, view.is_overdue)
+            self._tell(target, range(self.load.fronts))
+
     def _beat(self, target: ModelTarget) -> None:
         self._tell(target, self._random.sample(range(self.load.fronts), 7))
         self._after(HEARTBEAT_SECONDS, lambda: self._beat(target))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -186,6 +186,29 @@
     run_fleet(scenario, daemons=1, zones=1)
 
 
+@pytest.mark.parametrize(
+    ("is_on_trial", "is_idempotent", "is_taken"),
+    [(True, False, True), (False, True, True), (False, False, False)],
+)
+def test_ejected_target_of_any_service_can_show_that_it_is_well(
+    run_fleet, is_on_trial, is_idempotent, is_taken
+):
+    """One whose service has nothing to repeat stayed on trial for ever."""
+
+    async def scenario(fleet):
+        runner = fleet.daemons[0].guard.runner_by_name["target-0"]
+        runner.health._leave_end = float("inf")
+        runner.health.timer.eject(0.0 if is_on_trial else runner.clock())
+        runner.idle = IdleBound(HealthSettings(**OVERDUE), 0.0)
+        attempt = write_attempt("trial")
+        offered = replace(attempt, is_for_due=True, is_idempotent=is_idempotent)
+        port = LocalGuardPort(fleet.daemons[0].guard, 65_536)
+        await (await port.offer(offered)).receive()
+        assert fleet.runs("trial") == is_taken
+
+    run_fleet(scenario, daemons=1, zones=1)
+
+
 def test_answer_to_an_unknown_attempt_is_fenced_and_true(run_fleet):
     """A front that asks about an attempt which never came gets it fenced."""
 
