--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -217,6 +217,27 @@
         "if False and any(code",
         "tests/test_routing.py",
     ),
+    Mutation(
+        "no sound target is left without requests: the guard takes what it is due",
+        f"{_DAEMON}/guard/target_runner.py",
+        "if is_risky and not self._takes_for_due(item, phase):",
+        "if is_risky:",
+        "tests/test_path.py -k due_for",
+    ),
+    Mutation(
+        "no sound target is left without requests: due targets come first",
+        f"{_CORE}/picker.py",
+        "        if due is not None:\n",
+        "        if False:\n",
+        "tests/test_idle_targets.py -k 'sound and calm'",
+    ),
+    Mutation(
+        "avoidance ends when the daemon is reached",
+        f"{_DAEMON}/daemon.py",
+        "        self.context.picker.trust_daemon(said.daemon.name)\n",
+        "",
+        "tests/test_idle_targets.py -k reached",
+    ),
 )
 
 
