--- a/tests/test_idle_targets.py
+++ b/tests/test_idle_targets.py
@@ -63,7 +63,7 @@
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("load", _LOADS)
 def test_sound_target_is_never_left_without_a_request_for_two_seconds(load, seed):
-    """Chance alone brought a target back that had once failed, and FLOOR broke."""
+    """Chance alone brought back a target that had once failed."""
     service = FailingService(Load(seed=seed, **_LOADS[load]))
     service.play()
     assert service.idle_spans(window=2.0, settle_seconds=6.0) == []
@@ -113,7 +113,7 @@
 
 
 def test_target_that_goes_on_failing_is_tried_less_often():
-    """Trials of failing targets took the budget for repeats, and BUDGET broke."""
+    """Trials of failing targets took most of the budget for repeats."""
     health = HealthSettings(
         due_seconds=1.0, longest_idle_seconds=1.5, longest_trial_seconds=3.0
     )
--- a/tests/test_target_decisions.py
+++ b/tests/test_target_decisions.py
@@ -227,7 +227,7 @@
 
 
 def test_calls_are_charged_to_the_runs_that_may_be_repeated():
-    """A repeat paid for the mean of all runs, and those it calls broke BUDGET."""
+    """A repeat paid for the mean of all runs, and made more calls than that."""
     budgets = RetryBudgets(FrontSettings(retry_floor=10), started_at=-100.0)
     beside_target = RetryBudgets(FrontSettings())
     for number in range(40):
