--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -70,7 +70,7 @@
         )
         self.peers.on_greeted = self._greeted
         self.guard.on_changed = self.membership.publish
-        self.guard.on_doubted = self.peers.tell_linked
+        self.guard.on_view_changed = self.peers.tell_linked
         self.shared.on_extended = self.limiter.extend
         self.keepers.on_recalled = self.limiter.recall
         self.keepers.on_stated = self.limiter.state_shard
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -34,8 +34,8 @@
 """Time between two looks whether an open link is still wanted."""
 
 _MOST_TOLD = 64
-"""Peers that are told of a failure at once; the others hear of it with heartbeats or
-answers. A message costs some 50 us to write, so this bounds it at some 3 ms."""
+"""Peers that are told of a target's view at once; the others hear of it with heartbeats
+or answers. A message costs some 50 us to write, so this bounds it at some 3 ms."""
 
 _LOG = logging.getLogger(__name__)
 
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -51,8 +51,8 @@
         self._order = ReportOrder()
         self.on_changed: Callable[[], Awaitable[None]] | None = None
         """Called when the set of targets, or one of them, has changed."""
-        self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
-        """Called when a target fails, or is slow, so that all fronts avoid it."""
+        self.on_view_changed: Callable[[TargetViewTold], Awaitable[None]] | None = None
+        """Called with a target's view when all fronts should know it at once."""
 
     @property
     def running(self) -> int:
@@ -105,7 +105,7 @@
             runner = TargetRunner(
                 announced, self._context, self.attempts, self.outcomes
             )
-            runner.on_doubted = self.on_doubted
+            runner.on_view_changed = self.on_view_changed
             self.runner_by_name[announced.name] = runner
         elif runner.announced.is_draining and not is_restart:
             return  # Draining is for good; only a new instance takes work again.
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -105,8 +105,8 @@
         self._due_told = _Due.NO
         self._is_idle_reported = False
         self.reported_instance = ""
-        self.on_doubted: Callable[[TargetViewTold], Awaitable[None]] | None = None
-        """Called with the target's view when all fronts should know it now."""
+        self.on_view_changed: Callable[[TargetViewTold], Awaitable[None]] | None = None
+        """Called with the target's view when all fronts should know it at once."""
         self._has_failed = False
         self._doubted_at = -math.inf
 
@@ -267,8 +267,8 @@
             return
         self._has_failed = False
         self._doubted_at = now
-        if self.on_doubted is not None:
-            await self.on_doubted(self.view())
+        if self.on_view_changed is not None:
+            await self.on_view_changed(self.view())
 
     async def tell_due(self) -> None:
         """Tell the fronts that the target is due for a request, and when it had one."""
@@ -281,8 +281,8 @@
         if due is self._due_told:
             return
         self._due_told = due
-        if self.on_doubted is not None:
-            await self.on_doubted(self.view())
+        if self.on_view_changed is not None:
+            await self.on_view_changed(self.view())
 
     def _due(self) -> _Due:
         now = self.clock()
@@ -299,8 +299,8 @@
         if known is not None and abs(now - known) < _TELLING_CHANGE:
             return
         self._told_log_latency = now
-        if known is not None and self.on_doubted is not None:
-            await self.on_doubted(self.view())
+        if known is not None and self.on_view_changed is not None:
+            await self.on_view_changed(self.view())
 
     def _log_latency(self) -> float | None:
         now = self.clock()
