Exchange member records by digests and write them without reading

Cause: any difference of one digest on any heartbeat fetched all records of all members with their targets, so the start of n daemons cost each of them n times n records; each merge ranked all names anew; every daemon listed all members in the store, page by page, every 20 s, read its own record before each write, and each poll of the shared state was three calls even if nothing had changed.

Change: a change is passed on as a digest of 8 bytes, in batches of 20 ms, and a peer asks for the records that it lacks; what is missed is found by comparing 64 buckets, after two heartbeats that differ. Neighbours are chosen when members change, at most every 50 ms. A daemon reads one page of members at its start; three readers list all of them, from a read that may be old. Its own record is replaced at the known revision. Membership is split into detection, exchange of records and the store's records. The fixture of the platform's fleet now waits for the keepers of all shards, not of any: claims of two daemons no longer come in one batch.

Ruled out: waiting for the periodic choice of neighbours alone (a daemon without chosen neighbours had no relay for a handover: test_keeper_superseded_by_others failed).

--- a/packages/adapters/src/bramleyglade_adapters/link/codec.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/codec.py
@@ -76,6 +76,10 @@
     setattr(builder, field, "\n".join([f"{h.name}:{h.value}" for h in headers]))
 
 
+def _write_numbers(builder: Any, field: str, numbers: tuple[int, ...]) -> None:
+    setattr(builder, field, list(numbers))
+
+
 def _read_headers(text: str) -> tuple[Header, ...]:
     if not text:
         return ()
@@ -86,6 +90,7 @@
 _OPTIONAL_FLOAT = _Codec(_write_optional, _read_optional)
 """NaN stands for None, because a Cap'n Proto number can't be absent."""
 _HEADERS = _Codec(_write_headers, _read_headers)
+_NUMBERS = _Codec(_write_numbers, tuple)
 _codec_by_class: dict[type, _Codec] = {}
 
 
@@ -94,6 +99,8 @@
         return _IDENTITY
     if hint == tuple[Header, ...]:
         return _HEADERS
+    if hint == tuple[int, ...]:
+        return _NUMBERS
     origin = typing.get_origin(hint)
     if origin is tuple:
         return _list_codec(typing.get_args(hint)[0])
@@ -183,6 +190,8 @@
     shares.HoldingsAsked,
     shares.HoldingsTold,
     peer_messages.LeavingTold,
+    peer_messages.RecordDigestsAsked,
+    peer_messages.RecordDigestsTold,
 )
 
 
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -39,6 +39,8 @@
     holdingsAsked @32 :HoldingsAsked;
     holdingsTold @33 :HoldingsTold;
     leavingTold @34 :LeavingTold;
+    recordDigestsAsked @35 :RecordDigestsAsked;
+    recordDigestsTold @36 :RecordDigestsTold;
   }
 }
 
@@ -113,7 +115,9 @@
   wholeTicket @4 :UInt64;
 }
 
-struct RecordsAsked {}
+struct RecordsAsked { digests @0 :List(UInt64); }  # Empty for all records.
+struct RecordDigestsAsked { buckets @0 :List(UInt64); }
+struct RecordDigestsTold { digests @0 :List(UInt64); }
 struct RecordsTold { records @0 :List(MemberRecord); }
 struct LeavingTold { daemon @0 :Text; runs @1 :List(TargetRun); }
 struct SightAsked {}
--- a/packages/adapters/src/bramleyglade_adapters/store/http_store.py
+++ b/packages/adapters/src/bramleyglade_adapters/store/http_store.py
@@ -71,6 +71,11 @@
         query = urlencode({"prefix": prefix, "after": after})
         return _to_listing(await self._read(self._client, f"/v1/list?{query}"))
 
+    async def list_some(self, prefix: str, after_key: str) -> tuple[StoredObject, ...]:
+        """List the objects under a prefix whose keys follow a key."""
+        listing = await self.list_changed(prefix, 0)
+        return tuple(o for o in listing.objects if o.key > after_key)
+
     async def watch(self, prefix: str, after: int, wait_seconds: float) -> Listing:
         """Wait for changes after a revision; the listing may be empty."""
         wait_milliseconds = int(wait_seconds * _MILLISECONDS_PER_SECOND)
--- a/packages/core/src/bramleyglade_core/decisions/directory.py
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from bramleyglade_core.decisions.ejection_permits import ServiceCapacity
+from bramleyglade_core.decisions.record_digests import RecordDigests
 from bramleyglade_core.model.announcements import (
     DaemonPhase,
     TargetAnnouncement,
@@ -61,8 +60,14 @@
         self._candidates_by_service: dict[str, list[Candidate]] | None = None
         self.version = 0
         """Increases with each change."""
-        self.digest = 0
+        self.members_version = 0
+        """Increases when a member appears, leaves, or is no longer or again live."""
+        self.digests = RecordDigests()
+
+    @property
+    def digest(self) -> int:
         """Digest of all records; equal on daemons that hold the same records."""
+        return self.digests.total
 
     def merge(self, record: MemberRecord) -> bool:
         """Merge a record.
@@ -76,14 +81,22 @@
         name = record.daemon.name
         previous = self.record_by_name.get(name)
         if previous is not None and previous.recency >= record.recency:
+            if previous.recency > record.recency:
+                self.digests.note_superseded(record)
             return False
         if self._tombstone_by_name.get(name, (-1, -1)) >= record.recency:
+            self.digests.note_superseded(record)
             return False
+        was_serving = self.is_live(name) and self._has_phase(name, DaemonPhase.SERVING)
         self.record_by_name[name] = record
         self.note_leaving(name, record.runs)
         # A newer record refutes a suspicion: its owner is alive and wrote it.
         self._suspected_by_name.pop(name, None)
-        self.digest ^= _digest(record) ^ (_digest(previous) if previous else 0)
+        if previous is not None:
+            self.digests.remove(previous)
+        self.digests.add(record)
+        if not was_serving or record.phase is not DaemonPhase.SERVING:
+            self.members_version += 1
         self._note_change()
         return True
 
@@ -139,12 +152,14 @@
         if self._suspected_by_name.get(name) == record.daemon.incarnation:
             return False
         self._suspected_by_name[name] = record.daemon.incarnation
+        self.members_version += 1
         self._note_change()
         return True
 
     def clear_suspicion(self, name: str) -> None:
         """Clear the suspicion of a daemon, since it has answered."""
         if self._suspected_by_name.pop(name, None) is not None:
+            self.members_version += 1
             self._note_change()
 
     def forget_absent(self, now: float) -> None:
@@ -175,6 +190,10 @@
             return False
         return name not in self._suspected_by_name
 
+    def _has_phase(self, name: str, phase: DaemonPhase) -> bool:
+        record = self.record_by_name.get(name)
+        return record is not None and record.phase is phase
+
     def live_names(self) -> list[str]:
         """Return the daemons that are in the fleet and not suspected."""
         return [name for name in self.record_by_name if self.is_live(name)]
@@ -226,7 +245,8 @@
 
     def _remove(self, name: str) -> None:
         record = self.record_by_name.pop(name)
-        self.digest ^= _digest(record)
+        self.digests.remove(record)
+        self.members_version += 1
         self._suspected_by_name.pop(name, None)
         self._absent_since_by_name.pop(name, None)
         self._leaving_runs_by_name.pop(name, None)
@@ -269,11 +289,6 @@
         return started_at <= leaving.started_at
 
 
-def _digest(record: MemberRecord) -> int:
-    version = f"{record.daemon.name}|{record.daemon.incarnation}|{record.sequence}"
-    return xxhash.xxh64_intdigest(version.encode())
-
-
 class RoutableTargets:
     """Cache of the targets that take new work, refreshed when something changes."""
 
--- a/packages/core/src/bramleyglade_core/decisions/rendezvous.py
+++ b/packages/core/src/bramleyglade_core/decisions/rendezvous.py
@@ -28,6 +28,11 @@
     return sorted(names, key=lambda name: (weight(key, name), name), reverse=True)
 
 
+def winner(key: str, names: Iterable[str]) -> str | None:
+    """Return the name with the highest weight for a key; None without names."""
+    return max(names, key=lambda name: (weight(key, name), name), default=None)
+
+
 def spread(key: str, zone_by_name: Mapping[str, str], count: int) -> list[str]:
     """Choose the names that rank highest for a key, taking the zones in turn.
 
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -106,16 +106,34 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsAsked:
-    """A daemon requests all member records."""
+    """A daemon requests member records."""
+
+    digests: tuple[int, ...] = ()
+    """Digests of the wanted records; empty for all."""
 
 
 @dataclass(frozen=True, slots=True)
 class RecordsTold:
-    """Member records that are new to the sender, or all of them."""
+    """Member records that are new to the sender, or that were requested."""
 
     records: tuple[MemberRecord, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RecordDigestsAsked:
+    """A daemon whose records differ asks for digests of those in differing buckets."""
+
+    buckets: tuple[int, ...]
+    """The sender's digest of each bucket of names."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordDigestsTold:
+    """Digests of records that are new to the sender, or that were asked for."""
+
+    digests: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingTold:
     """Targets of a VM are leaving; its own daemon may not know that any more."""
--- a/packages/core/src/bramleyglade_core/ports/store.py
+++ b/packages/core/src/bramleyglade_core/ports/store.py
@@ -51,5 +51,8 @@
     async def list_changed(self, prefix: str, after: int) -> Listing:
         """List the objects under a prefix that changed after a revision."""
 
+    async def list_some(self, prefix: str, after_key: str) -> tuple[StoredObject, ...]:
+        """List some objects under a prefix, the first ones whose keys follow a key."""
+
     async def watch(self, prefix: str, after: int, wait_seconds: float) -> Listing:
         """Wait for changes after a revision; the listing may be empty."""
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -14,6 +14,8 @@
 from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.identifiers import Address
 from bramleyglade_daemon.fleet.keepers import Keepers
+from bramleyglade_daemon.fleet.member_records import MemberRecords
+from bramleyglade_daemon.fleet.member_store import MemberStore
 from bramleyglade_daemon.fleet.membership import Membership
 from bramleyglade_daemon.fleet.message_handler import MessageHandler
 from bramleyglade_daemon.fleet.peers import Peers
@@ -60,7 +62,11 @@
         self.context = context
         self.peers = Peers(context)
         self.shared = SharedState(context, self.peers)
-        self.membership = Membership(context, self.peers, self.shared)
+        self.records = MemberRecords(context, self.peers)
+        self.member_store = MemberStore(context, self.peers, self.records)
+        self.membership = Membership(
+            context, self.peers, self.shared, self.records, self.member_store
+        )
         self.keepers = Keepers(context, self.peers, self.shared)
         self.guard = Guard(context)
         local = LocalGuardPort(self.guard, context.settings.peers.window_bytes)
@@ -68,12 +74,18 @@
         self.limiter = TeamLimiter(context, self.keepers)
         self.front = Front(context, dispatcher, self.limiter)
         self.peers.handler = MessageHandler(
-            context, self.peers, self.membership, self.shared, self.keepers, self.guard
+            context,
+            self.peers,
+            self.membership,
+            self.records,
+            self.shared,
+            self.keepers,
+            self.guard,
         )
         self.peers.on_link_opened = self._handle_hello
-        self.guard.on_changed = self.membership.publish
-        self.guard.keep_record = self.membership.keep_record
-        self.membership.on_history = self.guard.restore
+        self.guard.on_changed = self.records.publish
+        self.guard.keep_record = self.member_store.keep_record
+        self.records.on_history = self.guard.restore
         self.guard.on_view_changed = self.peers.send_to_linked_peers
         self.shared.on_lease_extended = self.limiter.extend
         self.keepers.on_recalled = self.limiter.recall
@@ -93,8 +105,9 @@
         settings = self.context.settings
         for work in (
             self.shared.run,
-            self.membership.publish_to_store,
-            self.membership.discover_members,
+            self.records.relay_changes,
+            self.member_store.publish_to_store,
+            self.member_store.discover_members,
             self.membership.maintain_neighbour_links,
             self.membership.watch_neighbours,
             self.keepers.run,
@@ -119,7 +132,7 @@
         """Stop gracefully: finish requests, return shares, hand over shards."""
         _LOG.info("DaemonStopping", extra={"daemon": self.context.settings.name})
         self.context.phase = DaemonPhase.LEAVING
-        await self.membership.publish()
+        await self.records.publish()
         async with curio.ignore_after(self.context.settings.stop_seconds):
             # Callers may still connect until they notice that this daemon leaves.
             await curio.sleep(self.context.settings.notice_seconds)
@@ -129,8 +142,8 @@
             await self.limiter.release_all()
             await self.keepers.hand_over_all()
         self.context.phase = DaemonPhase.GONE
-        await self.membership.publish()
-        await self.membership.write_final_record()
+        await self.records.publish()
+        await self.member_store.write_final_record()
         await self.guard.close()
         await curio.sleep(_STOP_POLL_SECONDS)
         for task in self._tasks:
@@ -151,7 +164,7 @@
     async def _handle_hello(self, link: Link, hello: HelloSaid) -> None:
         self.context.picker.clear_daemon_avoidance(hello.daemon.name)
         await curio.spawn(self.membership.send_heartbeats, link, daemon=True)
-        await self.membership.greet(link, hello.record)
+        await self.records.greet(link, hello.record)
 
 
 async def _run_forever(work: Callable[[], Awaitable[None]]) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -74,6 +74,8 @@
         """Targets announced on this VM."""
         self.runs: tuple[TargetRun, ...] = earlier_record.runs if earlier_record else ()
         """Runs of targets on this VM, also those known to earlier daemons."""
+        self.has_earlier_record = earlier_record is not None
+        """Whether an earlier daemon of this VM has left a record in the store."""
         self.is_history_known = is_history_known
         """Whether the store has told what earlier daemons of this VM knew."""
         self.renew_record()
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -9,7 +9,7 @@
 
 from bramleyglade_adapters.store.shared_objects import keeper_key
 from bramleyglade_adapters.structure import to_json
-from bramleyglade_core.decisions.rendezvous import rank, shard_of
+from bramleyglade_core.decisions.rendezvous import shard_of, winner
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
 from bramleyglade_core.model.announcements import DaemonPhase, KeeperAssignment
 from bramleyglade_core.model.ejections import EjectionAsked, EjectionTold
@@ -36,7 +36,7 @@
     from bramleyglade_daemon.fleet.shared_state import SharedState
 
 _PERIOD_SECONDS = 0.3
-_SETTLE_SECONDS = 0.3
+_SETTLE_SECONDS = 0.6
 """Time after the first read of the members in which no shard is claimed, so that
 daemons that start together can discover each other."""
 
@@ -268,7 +268,7 @@
             claimed_at = self._claimed_at_by_shard.get(shard, float("-inf"))
             if now - claimed_at < _CLAIM_RETRY_SECONDS:
                 continue
-            if rank(f"shard/{shard}", serving)[0] == self._context.settings.name:
+            if winner(f"shard/{shard}", serving) == self._context.settings.name:
                 orphans.append(shard)
         return orphans
 
@@ -443,9 +443,9 @@
     async def _hand_over(self, shard: int, keeper: ShardKeeper) -> None:
         serving = self._context.directory.serving_names()
         others = [name for name in serving if name != self._context.settings.name]
-        if not others or keeper.phase is not KeeperPhase.GRANTING:
+        successor = winner(f"shard/{shard}", others)
+        if successor is None or keeper.phase is not KeeperPhase.GRANTING:
             return
-        successor = rank(f"shard/{shard}", others)[0]
         daemon = self._context.directory.record_by_name[successor].daemon
         assignment = KeeperAssignment(shard, daemon, keeper.assignment.epoch + 1)
         try:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -23,6 +23,8 @@
     LeavingTold,
     LookAsked,
     OutcomeAsked,
+    RecordDigestsAsked,
+    RecordDigestsTold,
     RecordsAsked,
     RecordsTold,
     SightAsked,
@@ -42,6 +44,7 @@
     from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.keepers import Keepers
+    from bramleyglade_daemon.fleet.member_records import MemberRecords
     from bramleyglade_daemon.fleet.membership import Membership
     from bramleyglade_daemon.fleet.peers import Peers
     from bramleyglade_daemon.fleet.shared_state import SharedState
@@ -68,6 +71,7 @@
         context: Context,
         peers: Peers,
         membership: Membership,
+        records: MemberRecords,
         shared: SharedState,
         keepers: Keepers,
         guard: Guard,
@@ -75,6 +79,7 @@
         self._context = context
         self._peers = peers
         self._membership = membership
+        self._records = records
         self._shared = shared
         self._keepers = keepers
         self._guard = guard
@@ -118,21 +123,35 @@
 
     @_handle.register
     async def _(self, message: RecordsAsked, link: Link, stream: int) -> None:
-        records = tuple(self._context.directory.record_by_name.values())
+        directory = self._context.directory
+        records = directory.digests.records(message.digests)
+        if not message.digests:
+            records = tuple(directory.record_by_name.values())
         size = _RECORDS_PER_MESSAGE
-        chunks = [records[i : i + size] for i in range(0, len(records), size)]
+        chunks = [records[i : i + size] for i in range(0, len(records), size)] or [()]
         for chunk in chunks[1:]:
             await link.send_one_way(RecordsTold(chunk))
         await self._send_answer(link, stream, RecordsTold(chunks[0]))
 
     @_handle.register
     async def _(self, message: RecordsTold, link: Link, stream: int) -> None:
-        assert link.peer is not None
-        await self._membership.merge_records(message.records, link.peer.daemon.name)
+        await self._records.merge(message.records, link.peer_name)
+
+    @_handle.register
+    async def _(self, message: RecordDigestsAsked, link: Link, stream: int) -> None:
+        digests = self._context.directory.digests.differing(message.buckets)
+        await self._send_answer(link, stream, RecordDigestsTold(digests))
+
+    @_handle.register
+    async def _(self, message: RecordDigestsTold, link: Link, stream: int) -> None:
+        if self._context.directory.digests.unknown(message.digests):
+            await curio.spawn(
+                self._records.request_unknown, link, message.digests, daemon=True
+            )
 
     @_handle.register
     async def _(self, message: LeavingTold, link: Link, stream: int) -> None:
-        await self._membership.handle_leaving(message)
+        await self._records.handle_leaving(message)
 
     @_handle.register
     async def _(self, message: SuspicionTold, link: Link, stream: int) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -67,6 +67,10 @@
         """Return the open link of each linked peer."""
         return [link for link in self.link_by_name.values() if link.is_open]
 
+    def neighbour_links(self) -> list[Link]:
+        """Return the open links to neighbours."""
+        return [link for link in self.open_links() if self.is_neighbour(link)]
+
     def link_to(self, name: str) -> Link | None:
         """Return the open link to a peer, or None."""
         link = self.link_by_name.get(name)
@@ -133,9 +137,8 @@
 
     async def send_to_neighbours(self, message: Any, exclude: str = "") -> None:
         """Send a message to all neighbours but one; they forward what is new."""
-        for link in self.open_links():
-            assert link.peer is not None
-            if link.peer.daemon.name != exclude and self.is_neighbour(link):
+        for link in self.neighbour_links():
+            if link.peer_name != exclude:
                 await link.send_one_way(message)
 
     async def send_to_linked_peers(self, message: Any) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/program.py
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -22,7 +22,7 @@
 from bramleyglade_core.ports.store import ObjectStore
 from bramleyglade_daemon.daemon import Daemon
 from bramleyglade_daemon.fleet.context import Context
-from bramleyglade_daemon.fleet.membership import (
+from bramleyglade_daemon.fleet.member_store import (
     next_incarnation,
     read_earlier_record,
 )
--- a/packages/standins/src/bramleyglade_standins/memory_store.py
+++ b/packages/standins/src/bramleyglade_standins/memory_store.py
@@ -28,6 +28,10 @@
     """Number of revisions by which reads are behind."""
 
 
+_PAGE_SIZE = 3
+"""Objects that `list_some` returns; few, so that tests get several pages."""
+
+
 class MemoryStore:
     """Implements the `ObjectStore` port; `StoreServer` serves it over HTTP."""
 
@@ -63,6 +67,12 @@
         await self._apply_faults()
         return self._list(prefix, after)
 
+    async def list_some(self, prefix: str, after_key: str) -> tuple[StoredObject, ...]:
+        """List the first objects under a prefix whose keys follow a key."""
+        await self._apply_faults()
+        objects = sorted(self._list(prefix, 0).objects, key=lambda o: o.key)
+        return tuple(o for o in objects if o.key > after_key)[:_PAGE_SIZE]
+
     async def watch(self, prefix: str, after: int, wait_seconds: float) -> Listing:
         """Wait for changes after a revision; the listing may be empty."""
         await self._apply_faults()
--- a/tests/platform_adapter/fleet.py
+++ b/tests/platform_adapter/fleet.py
@@ -87,7 +87,8 @@
             lambda: all(
                 len(d.context.directory.candidates("catalogue")) == len(self.targets)
                 and d.context.lease.is_valid
-                and d.context.view.assignment_by_shard
+                and len(d.context.view.assignment_by_shard)
+                == d.context.settings.limits.shards
                 for d in self.daemons
             )
         )
--- a/tests/platform_adapter/test_planned_stop.py
+++ b/tests/platform_adapter/test_planned_stop.py
@@ -32,7 +32,7 @@
             await fleet.call(0, "GET", "/search/a", "")
         daemon = fleet.daemons[0]
         daemon.context.phase = DaemonPhase.LEAVING
-        await daemon.membership.publish()
+        await daemon.records.publish()
         slow, other = fleet.targets[1:]
         slow.behaviour = replace(slow.behaviour, work_seconds=1.5)
         slow_calls = []
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -32,7 +32,7 @@
 from bramleyglade_core.model.identifiers import Address, DaemonId, TargetId
 from bramleyglade_core.model.peer_messages import TargetViewTold
 from bramleyglade_core.model.tickets import Ticket
-from bramleyglade_daemon.fleet.membership import (
+from bramleyglade_daemon.fleet.member_store import (
     next_incarnation,
     read_earlier_record,
 )
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -352,7 +352,7 @@
         assert records["vm-2"].phase is DaemonPhase.GONE
         live = context.directory.record_by_name["vm-1"]
         gone = replace(live, phase=DaemonPhase.GONE, sequence=live.sequence + 1)
-        await fleet.daemons[0].membership.merge_records((gone,), "")
+        await fleet.daemons[0].records.merge((gone,), "")
         await fleet.wait_until(lambda: phase_of("vm-1") is DaemonPhase.SERVING)
 
     run_fleet(scenario, daemons=3)
