Read ahead on callers' connections, and stop reading before a planned stop ends

Cause: the next head was read only when the answer before it was done, so a pipe of requests was served one at a time and its later requests were late or given up; a watcher that saw the next request's bytes no longer saw the caller leave. Daemon.stop waited until it was idle and then ended, with no moment at which reading stopped: what an open connection brought between the two was read and cut, and what still ran at the end of the grace was cut without an answer.

Change: each request has its own h11 object, fed with what its predecessor left over. While a request is worked on, the connection is read on; idempotent requests without a body start at once, up to 8, and answer in their turn. Any other request waits, and what is behind an answer that closes the connection is not read. A stop has a schedule: after the notice, only requests without a key are accepted, and only while targets of this VM work on earlier requests, whose calls they may be; then no connection is read, idle ones are closed, and what was read is answered, or refused as not run if its service's typical time doesn't fit. What runs at the end gets 502, may have run. The last answer is sent before the connection is closed, so that unread bytes don't reset it.

Also: a daemon that has just started waits for its peers' evidence up to 2.5 s before it reads the store, and a watcher skips a poll if another one has just read.

--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    import curio
     from curio.io import Socket
 
 
@@ -51,10 +52,22 @@
 
 
 class ServerConnection:
-    """Receives requests and sends answers; writes are buffered until a flush."""
+    """Receives requests and sends answers; writes are buffered until a flush.
 
-    def __init__(self, sock: Socket) -> None:
+    One object can serve all requests of a connection, one after another. If requests
+    are read before earlier ones are answered, each gets an object of its own, its
+    predecessor's `successor`, and its answer waits for its turn.
+    """
+
+    def __init__(self, sock: Socket, turn: curio.Event | None = None) -> None:
+        """Create an object for the first request of a connection, or for a later one.
+
+        Args:
+            sock: The connection.
+            turn: Set once all earlier answers are sent; None for the first request.
+        """
         self.sock = sock
+        self._turn = turn
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -79,6 +92,46 @@
         states = (self._protocol.our_state, self._protocol.their_state)
         return states == (h11.DONE, h11.DONE)
 
+    @property
+    def may_precede(self) -> bool:
+        """Whether the request is read whole and another one may follow."""
+        return not self._is_broken and self._protocol.their_state is h11.DONE
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes beyond the request have been read."""
+        return bool(self._protocol.trailing_data[0])
+
+    def successor(self, turn: curio.Event | None = None) -> ServerConnection:
+        """Return the object for the next request, with the bytes read beyond this one.
+
+        Args:
+            turn: Set once this and all earlier answers are sent; None if they are.
+        """
+        following = ServerConnection(self.sock, turn)
+        data, _ = self._protocol.trailing_data
+        if data:
+            following.feed(data)
+        return following
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes that were read from the socket."""
+        self._protocol.receive_data(data)
+
+    def parse_request(self) -> RequestHead | None:
+        """Return the head of the request, or None if more bytes are needed.
+
+        Raises:
+            BadRequest: If the data is not a valid HTTP request.
+        """
+        event = self._parse_event()
+        return self._request_head(event) if isinstance(event, h11.Request) else None
+
+    async def wait_turn(self) -> None:
+        """Wait until the answers to all earlier requests are sent."""
+        if self._turn is not None:
+            await self._turn.wait()
+
     async def receive_request(self) -> RequestHead | None:
         """Wait for the head of the next request.
 
@@ -91,8 +144,9 @@
         if self._protocol.our_state is h11.DONE:
             self._protocol.start_next_cycle()
         event = await self._next_event()
-        if not isinstance(event, h11.Request):
-            return None
+        return self._request_head(event) if isinstance(event, h11.Request) else None
+
+    def _request_head(self, event: h11.Request) -> RequestHead:
         headers = headers_from_wire(event.headers)
         names = {header.name for header in headers}
         if {"content-length", "transfer-encoding"} <= names:
@@ -104,7 +158,7 @@
         if not has_body:
             # The end of the message is available at once; unless it is consumed,
             # the connection can't be reused.
-            await self._next_event()
+            self._parse_event()
         return RequestHead(
             method=event.method.decode("ascii"),
             target=event.target.decode("latin-1"),
@@ -160,6 +214,7 @@
         """Send the whole buffer in one write."""
         if not self._buffer:
             return
+        await self.wait_turn()
         data, self._buffer = self._buffer, bytearray()
         self._is_broken = True  # A cancelled write may have been sent only in part.
         await self.sock.sendall(data)
@@ -175,15 +230,16 @@
             self._buffer += data
 
     async def _next_event(self) -> object:
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                self._is_broken = True
-                raise BadRequest(ErrorCode.BAD_REQUEST, str(error)) from None
-            if event is not h11.NEED_DATA:
-                return event
+        while (event := self._parse_event()) is h11.NEED_DATA:
             self._protocol.receive_data(await self.sock.recv(RECEIVE_BYTES))
+        return event
+
+    def _parse_event(self) -> object:
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            self._is_broken = True
+            raise BadRequest(ErrorCode.BAD_REQUEST, str(error)) from None
 
 
 def _has_body(headers: Iterable[Header]) -> bool:
--- a/packages/adapters/src/bramleyglade_adapters/http/wire.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/wire.py
@@ -107,6 +107,15 @@
     return True
 
 
+async def wait_readable(sock: curio_io.Socket) -> None:
+    """Wait until data, a close or an error can be read; no byte is read.
+
+    A task that is cancelled during the wait ends here, even if data has arrived too.
+    """
+    await curio.traps._read_wait(sock.fileno())
+    await curio.check_cancellation()
+
+
 async def wait_for_close(sock: curio_io.Socket) -> bool:
     """Wait until the other side sends data or closes; True if it has closed."""
     await curio.traps._read_wait(sock.fileno())
--- /dev/null
+++ b/packages/core/src/bramleyglade_core/decisions/stop_schedule.py
@@ -0,0 +1,53 @@
+"""Which requests a daemon still accepts during a planned stop."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from bramleyglade_core.model.settings import DaemonSettings
+
+_EXPECTED_TIME_MARGIN = 3.0
+"""Factor on the typical time of a service, within which nearly all answers come."""
+
+_LAST_ACCEPTANCE_SHARE = 0.7
+"""Part of a stop after which nothing is accepted, whatever still runs."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopSchedule:
+    """The times of one planned stop, by this process's clock, in seconds.
+
+    Callers notice the stop within the notice. After it, only requests without a key
+    are accepted, and only while targets of this VM work on earlier requests, which may
+    make such calls.
+    """
+
+    notice_ends_at: float
+    acceptance_ends_at: float
+    """Last time at which any request is accepted."""
+    ends_at: float
+    """When requests that are not answered by then are given up."""
+
+    def accepts(self, now: float, has_key: bool, typical_seconds: float) -> bool:
+        """Return whether a request that has just been read can still be served.
+
+        Args:
+            now: Current time, in seconds.
+            has_key: Whether the request belongs to a team, so that its caller is not a
+                target.
+            typical_seconds: Typical time of an answer of its service.
+        """
+        if now >= (self.notice_ends_at if has_key else self.acceptance_ends_at):
+            return False
+        return now + _EXPECTED_TIME_MARGIN * typical_seconds <= self.ends_at
+
+
+def plan_stop(settings: DaemonSettings, now: float) -> StopSchedule:
+    """Return the schedule of a stop that begins now."""
+    notice_ends_at = now + settings.notice_seconds
+    share = _LAST_ACCEPTANCE_SHARE * settings.stop_seconds
+    return StopSchedule(
+        notice_ends_at, max(notice_ends_at, now + share), now + settings.stop_seconds
+    )
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -11,6 +11,7 @@
 from curio.io import Socket
 
 from bramleyglade_adapters.http.json_server import JsonServer
+from bramleyglade_core.decisions.stop_schedule import plan_stop
 from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.identifiers import Address
 from bramleyglade_daemon.fleet.keepers import Keepers
@@ -40,6 +41,9 @@
 
 _RESTART_DELAY_SECONDS = 1.0
 _STOP_POLL_SECONDS = 0.05
+_LAST_ANSWERS_SECONDS = 0.2
+"""Time for the answers to requests that are given up at the end of a stop."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -131,17 +135,27 @@
     async def stop(self) -> None:
         """Stop gracefully: finish requests, return shares, hand over shards."""
         _LOG.info("DaemonStopping", extra={"daemon": self.context.settings.name})
-        self.context.phase = DaemonPhase.LEAVING
+        context = self.context
+        schedule = plan_stop(context.settings, context.clock())
+        context.stop_schedule = schedule
+        context.phase = DaemonPhase.LEAVING
         await self.records.publish()
-        async with curio.ignore_after(self.context.settings.stop_seconds):
+        async with curio.ignore_after(context.settings.stop_seconds):
             # Callers may still connect until they notice that this daemon leaves.
-            await curio.sleep(self.context.settings.notice_seconds)
-            if self._caller_listener is not None:
-                await self._caller_listener.cancel()
+            await curio.sleep(context.settings.notice_seconds)
+            # Targets that work on requests may need answers to calls of their own.
+            while self.guard.busy and context.clock() < schedule.acceptance_ends_at:
+                await curio.sleep(_STOP_POLL_SECONDS)
+            await self._stop_accepting()
             await self._wait_idle()
             await self.limiter.release_all()
             await self.keepers.hand_over_all()
-        self.context.phase = DaemonPhase.GONE
+        await self._stop_accepting()
+        await self.front.give_up()
+        async with curio.ignore_after(_LAST_ANSWERS_SECONDS):
+            while self.front.busy:
+                await curio.sleep(_STOP_POLL_SECONDS)
+        context.phase = DaemonPhase.GONE
         await self.records.publish()
         await self.member_store.write_final_record()
         await self.guard.close()
@@ -151,6 +165,12 @@
         await self.peers.close()
         _LOG.info("DaemonStopped", extra={"daemon": self.context.settings.name})
 
+    async def _stop_accepting(self) -> None:
+        """Read no request from now on; those already read are still answered."""
+        if self._caller_listener is not None:
+            await self._caller_listener.cancel()
+        await self.front.stop_accepting()
+
     async def _wait_idle(self) -> None:
         while self.front.busy or self.guard.busy:
             await curio.sleep(_STOP_POLL_SECONDS)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -22,6 +22,7 @@
 
     from bramleyglade_adapters.telemetry import Telemetry
     from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.decisions.stop_schedule import StopSchedule
     from bramleyglade_core.model.announcements import TargetAnnouncement, TargetRun
     from bramleyglade_core.model.peer_messages import TargetViewTold
     from bramleyglade_core.model.settings import DaemonSettings
@@ -67,6 +68,8 @@
         self.splitter = Splitter(self.random)
         self.dialect: Dialect = dialect or FleetDialect(settings.front)
         self.phase = DaemonPhase.SERVING
+        self.stop_schedule: StopSchedule | None = None
+        """The times of the planned stop; None before it begins."""
         self.discovered_at: float | None = None
         """Time at which the members were first read from the store; None before."""
         self._sequence = 0
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -36,6 +36,9 @@
 _PROBE_TIMEOUT_SECONDS = 0.8
 """Timeout of an indirect probe; the peer's own dial may take half a second of it."""
 
+_FIRST_PERIODS = 4
+"""Heartbeats in one period while a daemon that has just started awaits evidence."""
+
 _NEIGHBOUR_PERIOD_SECONDS = 1.0
 _NEIGHBOUR_PAUSE_SECONDS = 0.05
 """Least time between two choices of neighbours, while a fleet starts."""
@@ -96,6 +99,8 @@
         while link.is_open:
             # Twice as often while requests are in flight, to detect a failure sooner.
             pause = period / 2 if link.stream_count else period
+            if self._shared.awaits_first_evidence:
+                pause = period / _FIRST_PERIODS
             if link.stream_count or self._peers.is_neighbour(link):
                 differs = await self._send_heartbeat(link)
                 # A change that is on its way makes records differ for a moment.
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -49,6 +49,11 @@
 
 _MAX_BACKOFF_SECONDS = 5.0
 
+_FIRST_EVIDENCE_SECONDS = 2.5
+"""Time from its start in which a daemon waits for peers to pass on what they read."""
+
+_FIRST_EVIDENCE_POLL_SECONDS = 0.1
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -62,6 +67,10 @@
         self._is_store_reachable = False
         """Whether the latest call to the store was answered."""
         self._pulling_from: set[str] = set()
+        self._started_at = context.clock()
+        self._watchers: frozenset[str] = frozenset()
+        self._watcher_version = -1
+        """Version of the directory's members that the watchers were chosen from."""
         self.on_lease_extended: Callable[[float, float], None] | None = None
         """Called with the request time and the end of each lease extension."""
         self.on_changed: Callable[[], Awaitable[None]] | None = None
@@ -165,6 +174,9 @@
         lease = self._context.lease
         if self._is_watcher():
             return await self._watch_store()
+        if self.awaits_first_evidence:
+            await curio.sleep(_FIRST_EVIDENCE_POLL_SECONDS)
+            return True
         settings = self._context.settings.lease
         min_fresh_seconds = settings.term_seconds - settings.stale_seconds
         if not lease.is_extended and lease.fresh_seconds > min_fresh_seconds:
@@ -172,12 +184,29 @@
             return True
         return await self._read_store()
 
+    @property
+    def awaits_first_evidence(self) -> bool:
+        """Whether this daemon has just started and waits for evidence from peers.
+
+        When a fleet starts, the store would otherwise be read by all of it at once.
+        """
+        if self._context.clock() >= self._started_at + _FIRST_EVIDENCE_SECONDS:
+            return False
+        if self._context.lease.is_valid:
+            return False
+        return self._context.discovered_at is None or bool(self._peers.open_links())
+
     def _is_watcher(self) -> bool:
-        serving = self._context.directory.serving_names()
-        own_name = self._context.settings.name
-        # Spread over all zones, so that no partition or lost zone stops all watchers.
-        readers = self._context.settings.lease.readers
-        return own_name in spread("watchers", self._zones_of(serving), readers)
+        directory = self._context.directory
+        if self._watcher_version != directory.members_version:
+            self._watcher_version = directory.members_version
+            # Spread over all zones, so that no partition or lost zone stops them all.
+            zone_by_name = self._zones_of(directory.serving_names())
+            readers = self._context.settings.lease.readers
+            self._watchers = frozenset(spread("watchers", zone_by_name, readers))
+        # Before the members are known, each daemon would take itself for a watcher.
+        is_known = self._context.discovered_at is not None
+        return is_known and self._context.settings.name in self._watchers
 
     async def _watch_store(self) -> bool:
         view = self._context.view
@@ -187,6 +216,9 @@
             return await self._read_store()
         if not settings.has_watches:
             await curio.sleep(wait)
+            age = settings.term_seconds - self._context.lease.fresh_seconds
+            if age < wait / 2:
+                return True  # Another watcher has just read the store.
             return await self._read_store()
         try:
             after = view.revision
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -4,64 +4,26 @@
 
 import logging
 import socket
-import struct
 from typing import TYPE_CHECKING, Any
 
 import curio
 
-from bramleyglade_adapters.http.server_connection import RequestHead, ServerConnection
-from bramleyglade_adapters.http.wire import (
-    disable_nagle,
-)
-from bramleyglade_adapters.telemetry import traceparent_of
-from bramleyglade_core.decisions.admission import authenticate
-from bramleyglade_core.decisions.routing import check_headers, check_path
-from bramleyglade_core.model.errors import (
-    AttemptError,
-    BadRequest,
-    ErrorCode,
-    FleetError,
-)
-from bramleyglade_core.model.exchange import (
-    AnswerContinued,
-    AnswerEnded,
-    AnswerEvent,
-    AnswerStarted,
-    AttemptFailed,
-    BufferedAnswer,
-    Header,
-)
-from bramleyglade_core.model.verdict import Verdict
-from bramleyglade_core.ports.dialect import ForwardedMetadata
-from bramleyglade_daemon.front.refusal import refusal_answer
-from bramleyglade_daemon.front.request import (
-    AdmittedRequest,
-    BodyFeeder,
-    check_length,
-    new_request_id,
-    timeout_of,
-)
-from bramleyglade_daemon.front.request_log import OK, RequestLog
+from bramleyglade_adapters.http.server_connection import ServerConnection
+from bramleyglade_adapters.http.wire import RECEIVE_BYTES, disable_nagle
+from bramleyglade_core.model.errors import AttemptError, BadRequest, ErrorCode
+from bramleyglade_daemon.front.caller_exchange import CallerExchange
+from bramleyglade_daemon.front.pipe import Pipe, PipedRequest
 
 if TYPE_CHECKING:
     from curio.io import Socket
 
-    from bramleyglade_adapters.telemetry import Hop
-    from bramleyglade_core.model.entities import Route, Team
-    from bramleyglade_core.ports.dialect import CallerMetadata
     from bramleyglade_daemon.fleet.context import Context
-    from bramleyglade_daemon.front.dispatcher import Attempts, Dispatcher
+    from bramleyglade_daemon.front.dispatcher import Dispatcher
     from bramleyglade_daemon.front.team_limiter import TeamLimiter
 
-_SHORT_WAIT_SECONDS = 0.05
-"""Wait for an event before a watcher is started or buffered data is sent."""
-
-_MAX_BUFFERED_BYTES = 65_536
-"""Answers below this size are buffered until they are complete."""
-
-_CALLER_GONE = "caller-gone"
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""`SO_LINGER` value: on, with a timeout of zero."""
+_LINGER_SECONDS = 0.3
+"""Time in which a caller may read the last answer and close its side. Closing a socket
+with unread bytes resets it, and the caller loses the answer."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -76,6 +38,8 @@
         self.dispatcher = dispatcher
         self.limiter = limiter
         self.connections: set[CallerTask] = set()
+        self.is_accepting = True
+        """Whether requests are still read from connections."""
 
     @property
     def busy(self) -> int:
@@ -87,10 +51,23 @@
         """Whether callers should reconnect to another VM."""
         return self.context.is_leaving or not self.context.is_zone_in_use
 
+    async def stop_accepting(self) -> None:
+        """Read no more requests, and close the connections that have none."""
+        self.is_accepting = False
+        for connection in list(self.connections):
+            await connection.stop_reading()
+
+    async def give_up(self) -> None:
+        """End all requests in progress; they may have run."""
+        for connection in list(self.connections):
+            await connection.give_up()
+
     async def serve(self, sock: Socket, address: Any) -> None:
         """Serve one connection until it ends."""
         disable_nagle(sock)
         task = CallerTask(self, sock)
+        if not self.is_accepting:
+            return
         if len(self.connections) >= self.context.settings.front.max_connections:
             await task.reject()
             return
@@ -112,282 +89,91 @@
         self._front = front
         self._context = front.context
         self._sock = sock
-        self._connection = ServerConnection(sock)
-        self.is_busy = False
+        self._pipe = Pipe(front.context, sock, self._serve_ahead)
+        self._exchanges: set[CallerExchange] = set()
+        """Requests in progress."""
+
+    @property
+    def is_busy(self) -> bool:
         """Whether a request is in progress."""
+        return bool(self._exchanges)
 
     async def run(self) -> None:
         """Serve requests until the connection ends or should be closed."""
         try:
-            while (head := await self._receive_head()) is not None:
-                self.is_busy = True
-                await self._serve(head)
-                self.is_busy = False
-                if (
-                    not self._connection.is_reusable
-                    or self._front.should_close_connections
-                ):
-                    return
-        except BadRequest as error:
-            await self._refuse(error, "")
+            while (request := await self._pipe.receive()) is not None:
+                await request.turn.set()
+                if request.task is None:
+                    await self._serve(request)
+                else:
+                    await request.task.join()
+                if self._must_close(request):
+                    break
+            else:
+                return
+            await self._pipe.close()
+            await self._linger()
         except (OSError, curio.TaskTimeout) as error:
             _LOG.debug("CallerGone", extra={"why": str(error)})
         finally:
-            self.is_busy = False
+            await self._pipe.close()
 
     async def reject(self) -> None:
         """Refuse a connection beyond the limit, once it sends a request."""
         detail = "this VM has reached its limit of connections"
         error = AttemptError(ErrorCode.DAEMON_FULL, detail, retry_after=1.0)
+        connection = ServerConnection(self._sock)
         try:
             limits = self._context.configuration.caller_limits
             async with curio.timeout_after(limits.head_seconds):
-                if await self._connection.receive_request() is not None:
-                    await self._refuse(error, "")
+                if await connection.receive_request() is not None:
+                    exchange = CallerExchange(self._front, connection, self._pipe)
+                    await exchange.refuse(error, "")
         except (OSError, BadRequest, curio.TaskTimeout):
             return
 
-    async def _receive_head(self) -> RequestHead | None:
-        limits = self._context.configuration.caller_limits
-        wait = limits.head_seconds if self.is_busy else limits.idle_seconds
-        async with curio.timeout_after(wait):
-            return await self._connection.receive_request()
+    async def stop_reading(self) -> None:
+        """Read no more requests."""
+        await self._pipe.stop_reading()
 
-    async def _serve(self, head: RequestHead) -> None:
-        log = RequestLog(new_request_id(self._context.random), self._context.clock())
-        traceparent = head.header("traceparent")
-        if traceparent:
-            traceparent = traceparent_of({"traceparent": traceparent})
-        hop = self._context.telemetry.start_hop("front", traceparent, is_root=True)
-        try:
-            metadata = self._context.dialect.read_caller_headers(head.headers)
-            log.request_id = metadata.request_id or log.request_id
-            request = await self._admit(head, metadata, log)
-            await self._run(request, hop, log)
-        except FleetError as error:
-            log.note_error(error)
-            await self._refuse(error, log.request_id)
-        except BaseException:
-            log.code = _CALLER_GONE
-            raise
-        finally:
-            hop.set_attribute("code", log.code)
-            hop.end()
-            seconds = self._context.clock() - log.started_at
-            self._context.telemetry.note_request(log.code, log.verdict.value, seconds)
-            log.write(seconds)
-
-    async def _admit(
-        self, head: RequestHead, metadata: CallerMetadata, log: RequestLog
-    ) -> AdmittedRequest:
-        arrived_at = self._context.clock()
-        check_headers(head.headers)
-        path = check_path(head.target)
-        configuration = self._context.configuration
-        if not configuration.state_by_key:
-            raise AttemptError(
-                ErrorCode.CONFIGURATION_UNKNOWN,
-                "this VM has no configuration yet",
-                retry_after=1.0,
-            )
-        check_length(head, configuration.caller_limits)
-        host = head.header("host").partition(":")[0].lower()
-        route = configuration.router.match(head.method, path, host)
-        is_valid = self._context.lease.is_valid
-        log.note_route(self._context.view.revision, route)
-        team = authenticate(configuration, route, metadata.key, is_valid)
-        log.note_route(self._context.view.revision, route, team)
-        if team is not None and not team.is_unlimited:
-            await self._front.limiter.admit(team)
-        service_name = self._context.splitter.choose(route)
-        service = configuration.service_by_name.get(service_name)
-        if service is None:
-            raise AttemptError(
-                ErrorCode.NO_TARGET, "the route's service does not exist"
-            )
-        log.note_service(service.name)
-        team_name = team.name if team is not None else ""
-        forwarded = ForwardedMetadata(log.request_id, team_name)
-        return AdmittedRequest(
-            head=head,
-            route=route,
-            service=service,
-            team=team_name,
-            request_id=log.request_id,
-            deadline=arrived_at + timeout_of(metadata, route, service),
-            headers=self._context.dialect.forwarded_headers(head.headers, forwarded),
-            priority=_priority(route, team),
-            arrived_at=arrived_at,
-        )
+    async def give_up(self) -> None:
+        """End the requests in progress; they may have run."""
+        for exchange in list(self._exchanges):
+            await exchange.give_up()
 
-    async def _run(self, request: AdmittedRequest, hop: Hop, log: RequestLog) -> None:
-        feeder = BodyFeeder(self._connection)
-        hop.set_attribute("route", request.route.name)
-        attempts = self._front.dispatcher.start(request, feeder, hop, log)
+    async def _serve(self, request: PipedRequest) -> None:
+        exchange = CallerExchange(self._front, request.connection, self._pipe)
+        self._exchanges.add(exchange)
         try:
-            while True:
-                failed = await self._try_once(attempts, request)
-                if failed is None:
-                    return
-                attempts.check_retry(failed)
-                await attempts.end()
-        except AttemptError:
-            if attempts.fallback_answer is None:
-                raise
-            await self._send_complete(attempts.fallback_answer, request)
+            if request.head is None:
+                assert request.error is not None
+                await exchange.refuse(request.error, "")
+            else:
+                await exchange.serve(request.head)
         finally:
-            await attempts.end()
+            self._exchanges.discard(exchange)
 
-    async def _try_once(
-        self, attempts: Attempts, request: AdmittedRequest
-    ) -> AttemptFailed | None:
+    async def _serve_ahead(self, request: PipedRequest) -> None:
+        """Serve a request before its turn, in a task of its own."""
         try:
-            await attempts.next_attempt()
-        except AttemptError as error:
-            if error.code is ErrorCode.NO_TARGET:
-                raise
-            return AttemptFailed(error.code, error.detail, error.verdict)
-        failed = await self._relay(attempts, request)
-        if failed is None:
-            return None
-        failed = await attempts.resolve_outcome(failed)
-        if failed is None:
-            return await self._relay(attempts, request)
-        return failed
-
-    async def _relay(
-        self, attempts: Attempts, request: AdmittedRequest
-    ) -> AttemptFailed | None:
-        """Relay an answer; return the failure if the caller has received nothing."""
-        event = await self._first_event(attempts, request)
-        if isinstance(event, AttemptFailed):
-            return event
-        assert isinstance(event, AnswerStarted)
-        attempts.note_answer(event)
-        # Small answers are buffered until complete: they need one write, and a
-        # truncated one can still be retried.
-        buffered = bytearray()
-        following: AnswerEvent | None = None
-        while len(buffered) < _MAX_BUFFERED_BYTES:
-            following = await self._try_receive(attempts)
-            if isinstance(following, AttemptFailed):
-                return following
-            if not isinstance(following, AnswerContinued):
-                break
-            buffered += following.data
-            following = None
-        if isinstance(following, AnswerEnded):
-            answer = BufferedAnswer(event, bytes(buffered), following.trailers)
-            return await self._send_or_retry(attempts, request, answer)
-        self._start_answer(event, request)
-        if buffered:
-            self._connection.continue_answer(bytes(buffered))
-        await self._relay_rest(attempts, following)
-        return None
-
-    async def _send_or_retry(
-        self, attempts: Attempts, request: AdmittedRequest, answer: BufferedAnswer
-    ) -> AttemptFailed | None:
-        """Send a complete answer, or keep an error answer while a retry runs."""
-        status = answer.started.status
-        classification = self._context.dialect.classify_answer(
-            answer.started, request.request_id
-        )
-        if classification.is_failure and request.is_idempotent:
-            attempts.fallback_answer = answer
-            return AttemptFailed(
-                ErrorCode.TARGET_ERROR, f"the target answered {status}", Verdict.RAN
-            )
-        await self._send_complete(answer, request)
-        return None
-
-    async def _send_complete(
-        self, answer: BufferedAnswer, request: AdmittedRequest
-    ) -> None:
-        self._start_answer(answer.started, request)
-        if answer.body:
-            self._connection.continue_answer(answer.body)
-        self._connection.end_answer(self._without_key_header(answer.trailers))
-        await self._connection.flush()
-
-    async def _relay_rest(self, attempts: Attempts, event: AnswerEvent | None) -> None:
-        if event is None:
-            await self._connection.flush()
-            event = await attempts.receive()
-        while isinstance(event, AnswerContinued):
-            self._connection.continue_answer(event.data)
-            has_more = attempts.stream is not None and attempts.stream.has_more
-            if self._connection.must_flush or not has_more:
-                await self._connection.flush()
-            event = await attempts.receive()
-        if not isinstance(event, AnswerEnded):
-            await self._reset_connection()
-            return
-        self._connection.end_answer(self._without_key_header(event.trailers))
-        await self._connection.flush()
-
-    async def _first_event(
-        self, attempts: Attempts, request: AdmittedRequest
-    ) -> AnswerEvent:
-        if request.head.has_body:
-            return await attempts.receive()
-        event = await self._try_receive(attempts)
-        if event is not None:
-            return event
-        watcher = await curio.spawn(attempts.watch_caller)
-        try:
-            return await attempts.receive_with_timeout()
-        finally:
-            await watcher.cancel()
-
-    async def _try_receive(self, attempts: Attempts) -> AnswerEvent | None:
-        """Wait briefly for the next event; None if there is none."""
-        assert attempts.stream is not None
-        if attempts.stream.has_more:
-            return await attempts.stream.receive()
-        return await curio.ignore_after(_SHORT_WAIT_SECONDS, attempts.stream.receive)
-
-    def _start_answer(self, started: AnswerStarted, request: AdmittedRequest) -> None:
-        dialect = self._context.dialect
-        outcome_headers = dialect.outcome_headers(Verdict.RAN, OK, request.request_id)
-        names = {header.name for header in outcome_headers}
-        headers = [
-            *(h for h in started.headers if h.name not in names),
-            *outcome_headers,
-        ]
-        if self._front.should_close_connections:
-            headers.append(Header("connection", "close"))
-        self._connection.start_answer(started.status, headers)
-
-    def _without_key_header(self, trailers: tuple[Header, ...]) -> list[Header]:
-        reserved = self._context.settings.front.key_header
-        return [h for h in trailers if h.name != reserved]
-
-    async def _refuse(self, error: FleetError, request_id: str) -> None:
-        if not self._connection.can_answer:
-            await self._reset_connection()
-            return
-        answer = refusal_answer(error, request_id, self._context.dialect)
-        headers = list(answer.headers)
-        if self._front.should_close_connections or isinstance(error, BadRequest):
-            headers.append(Header("connection", "close"))
-        try:
-            self._connection.start_answer(answer.status, headers)
-            self._connection.continue_answer(answer.body)
-            self._connection.end_answer()
-            await self._connection.flush()
-        except OSError as send_error:
-            _LOG.debug("CallerGone", extra={"why": str(send_error)})
-
-    async def _reset_connection(self) -> None:
-        """Reset the connection, so that a truncated answer does not look complete."""
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        await self._sock.close()
-        raise ConnectionAbortedError("the answer was truncated")
-
+            await self._serve(request)
+        except (OSError, BadRequest) as error:
+            _LOG.debug("CallerGone", extra={"why": str(error)})
+        except curio.CancelledError:
+            raise
+        except Exception:
+            _LOG.exception("CallerTaskCrashed")
 
-def _priority(route: Route, team: Team | None) -> int:
-    """Return the priority of a request; the team's overrides the route's."""
-    if team is not None and team.priority is not None:
-        return team.priority
-    return route.priority
+    def _must_close(self, request: PipedRequest) -> bool:
+        if not request.connection.is_reusable:
+            return True
+        if self._pipe.has_started_behind(request.connection):
+            return False
+        return self._front.should_close_connections
+
+    async def _linger(self) -> None:
+        """Wait until the caller has read the last answer."""
+        await self._sock.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(_LINGER_SECONDS):
+            while await self._sock.recv(RECEIVE_BYTES):
+                pass
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -114,6 +114,11 @@
         configuration = self._context.configuration
         return self._routable.find(request.service, configuration)
 
+    def typical_seconds(self, service: str) -> float:
+        """Return the typical time of a service's answers; 0 if it is not known."""
+        candidates = self._context.directory.candidates(service)
+        return self._context.picker.typical_seconds(candidates) or 0.0
+
 
 class Attempts:
     """Makes the attempts of one request, one after another."""
@@ -137,6 +142,7 @@
         self._count = 0
         self._undelivered = 0
         self._is_retry_charged = False
+        self._is_given_up = False
         self._verdict = Verdict.NOT_RUN
         """Combined verdict of all attempts so far."""
         self._tried: set[TargetId] = set()
@@ -264,6 +270,21 @@
                 break
         return failed
 
+    async def give_up(self) -> None:
+        """Fail the current attempt, as this daemon ends before the target answers."""
+        if self.stream is None:
+            return
+        stream = self.stream
+        self._is_given_up = True
+        await stream.cancel()
+        await stream.deliver(
+            AttemptFailed(
+                ErrorCode.DAEMON_STOPPING,
+                "this VM's daemon ended before the target answered",
+                Verdict.MAY_HAVE_RUN,
+            )
+        )
+
     async def end(self) -> None:
         """End the current attempt; does nothing if it has already ended."""
         if self._candidate is not None and self.stream is not None:
@@ -296,6 +317,8 @@
         self._hop.set_attribute("retry.after", failed.code.value)
 
     def _may_retry(self, failed: AttemptFailed) -> bool:
+        if self._is_given_up:
+            return False
         is_idempotent = self._request.is_idempotent
         if not may_retry(failed.verdict, is_idempotent, self._feeder.is_consumed):
             return False
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -10,7 +10,7 @@
 from bramleyglade_adapters.http.server_connection import (
     RequestHead,
 )
-from bramleyglade_adapters.http.wire import RECEIVE_BYTES, wait_for_close
+from bramleyglade_adapters.http.wire import RECEIVE_BYTES
 from bramleyglade_core.model.entities import Route, Service
 from bramleyglade_core.model.errors import BadRequest, ErrorCode
 from bramleyglade_core.model.exchange import AttemptFailed, Header
@@ -25,6 +25,7 @@
     from bramleyglade_core.model.entities import CallerLimits
     from bramleyglade_core.ports.dialect import CallerMetadata
     from bramleyglade_core.ports.streams import AttemptStream
+    from bramleyglade_daemon.front.pipe import Pipe
 
 MAX_REPLAY_BYTES = 262_144
 """Largest body that is buffered for a retry."""
@@ -85,8 +86,9 @@
 class BodyFeeder:
     """Feeds the caller's body to attempts; a small one can be sent again."""
 
-    def __init__(self, connection: ServerConnection) -> None:
+    def __init__(self, connection: ServerConnection, pipe: Pipe) -> None:
         self._connection = connection
+        self._pipe = pipe
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._is_complete = False
@@ -141,14 +143,14 @@
 
     async def watch_caller(self, stream: AttemptStream) -> None:
         """Cancel an attempt if its caller disconnects while it waits."""
-        if await wait_for_close(self._connection.sock):
-            await stream.cancel()
-            failed = AttemptFailed(
-                ErrorCode.ATTEMPT_CANCELLED,
-                "the caller disconnected",
-                Verdict.MAY_HAVE_RUN,
-            )
-            await stream.deliver(failed)
+        await self._pipe.wait_closed()
+        await stream.cancel()
+        failed = AttemptFailed(
+            ErrorCode.ATTEMPT_CANCELLED,
+            "the caller disconnected",
+            Verdict.MAY_HAVE_RUN,
+        )
+        await stream.deliver(failed)
 
     async def _read(self) -> bytes | None:
         try:
--- /dev/null
+++ b/tests/test_pipelined_requests.py
@@ -0,0 +1,266 @@
+"""Requests that a caller sends before the earlier ones on its connection are answered.
+
+Each answer must reach its own request, in the order of the requests. What stands behind
+an answer that closes the connection counts as not read and must never reach a target.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+from dataclasses import replace
+
+import curio
+import h11
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleyglade_adapters.http.server_connection import ServerConnection
+from bramleyglade_core.model.announcements import DaemonPhase
+from bramleyglade_core.model.errors import BadRequest
+from bramleyglade_daemon.front.pipe import MAX_AHEAD
+from bramleyglade_standins.local_fleet import KEY
+
+SLOW_SECONDS = 0.4
+
+
+def request(path, method="GET", body=b"", extra=""):
+    head = f"{method} {path} HTTP/1.1\r\nhost: any\r\nx-api-key: {KEY}\r\n{extra}"
+    if body:
+        head += f"content-length: {len(body)}\r\n"
+    return f"{head}\r\n".encode() + body
+
+
+class PipingCaller:
+    """Sends raw requests over one connection, and reads whole answers."""
+
+    def __init__(self, address):
+        self._address = address
+        self._protocol = h11.Connection(h11.CLIENT)
+        self.sock = None
+
+    async def send(self, *requests):
+        if self.sock is None:
+            self.sock = await curio.open_connection(
+                self._address.host, self._address.port
+            )
+        await self.sock.sendall(b"".join(requests))
+
+    async def answers(self):
+        """Read answers until the connection is closed or nothing comes for a while."""
+        data = bytearray()
+        async with curio.ignore_after(4 * SLOW_SECONDS):
+            while piece := await self.sock.recv(65_536):
+                data += piece
+        return split_answers(bytes(data))
+
+
+def split_answers(data):
+    answers = []
+    while data:
+        head, _, rest = data.partition(b"\r\n\r\n")
+        length = next(
+            int(line.split(b":")[1])
+            for line in head.lower().split(b"\r\n")
+            if line.startswith(b"content-length")
+        )
+        status = int(head.split(b" ")[1])
+        is_last = b"connection: close" in head.lower()
+        answers.append((status, rest[:length], is_last))
+        data = rest[length:]
+    return answers
+
+
+def paths(answers):
+    return [json.loads(body).get("path") for _, body, _ in answers]
+
+
+def slow_down(fleet, seconds=SLOW_SECONDS):
+    for target in fleet.targets:
+        target.behaviour = replace(target.behaviour, work_seconds=seconds)
+
+
+def test_pipelined_requests_are_worked_on_together_and_answered_in_order(run_fleet):
+    async def scenario(fleet):
+        wanted = [f"/lookup/{i}" for i in range(4)]
+        slow_down(fleet, 0.05)
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        most = 0
+        await caller.send(*[request(path) for path in wanted])
+        task = await curio.spawn(caller.answers)
+        while not task.terminated:
+            busy = sum(len(c._exchanges) for c in fleet.daemons[0].front.connections)
+            most = max(most, busy)
+            await curio.sleep(0.001)
+        answers = await task.join()
+        assert [status for status, _, _ in answers] == [200] * len(wanted)
+        assert paths(answers) == wanted
+        assert most > 1
+
+    run_fleet(scenario)
+
+
+def test_caller_with_more_requests_than_the_bound_gets_all_answers(run_fleet):
+    async def scenario(fleet):
+        wanted = [f"/lookup/{i}" for i in range(3 * MAX_AHEAD)]
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        await caller.send(*[request(path) for path in wanted])
+        await curio.sleep(0.05)
+        for connection in fleet.daemons[0].front.connections:
+            assert len(connection._exchanges) <= MAX_AHEAD + 1
+        assert paths(await caller.answers()) == wanted
+
+    run_fleet(scenario)
+
+
+def test_request_that_is_not_idempotent_waits_for_its_turn(run_fleet):
+    async def scenario(fleet):
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        wanted = ["/lookup/1", "/songs/2", "/lookup/3"]
+        await caller.send(
+            request(wanted[0]),
+            request(wanted[1], "POST", b"body"),
+            request(wanted[2]),
+        )
+        assert paths(await caller.answers()) == wanted
+
+    run_fleet(scenario)
+
+
+def test_requests_behind_a_bad_one_never_reach_a_target(run_fleet):
+    async def scenario(fleet):
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        await caller.send(
+            request("/lookup/1"),
+            b"nonsense\r\n\r\n",
+            request("/lookup/2"),
+            request("/songs/3", "POST", b"body"),
+        )
+        answers = await caller.answers()
+        assert [status for status, _, _ in answers] == [200, 400]
+        assert answers[-1][2]
+        assert sum(sum(t.runs_by_request.values()) for t in fleet.targets) == 1
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("length", ["9", "x"])
+def test_requests_behind_a_refused_body_never_reach_a_target(run_fleet, length):
+    """The end of a body that was refused is not known, nor where a request begins."""
+
+    async def scenario(fleet):
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        bad = request("/songs/../x", "POST", extra=f"content-length: {length}\r\n")
+        await caller.send(bad, request("/songs/3", "POST", b"body"))
+        answers = await caller.answers()
+        assert [status for status, _, _ in answers] == [400]
+        assert not any(target.runs_by_request for target in fleet.targets)
+
+    run_fleet(scenario)
+
+
+def test_requests_behind_the_last_answer_of_a_leaving_daemon_are_not_read(run_fleet):
+    async def scenario(fleet):
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        daemon = fleet.daemons[0]
+        daemon.context.phase = DaemonPhase.LEAVING
+        await caller.send(
+            request("/songs/1", "POST", b"body"),
+            request("/songs/2", "POST", b"body"),
+            request("/lookup/3"),
+        )
+        answers = await caller.answers()
+        assert paths(answers) == ["/songs/1"]
+        assert answers[0][2]
+        assert sum(sum(t.runs_by_request.values()) for t in fleet.targets) == 1
+
+    run_fleet(scenario)
+
+
+def test_leaving_daemon_answers_the_pipelined_requests_that_it_has_begun(run_fleet):
+    async def scenario(fleet):
+        wanted = [f"/lookup/{i}" for i in range(4)]
+        slow_down(fleet)
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        await caller.send(*[request(path) for path in wanted])
+        front = fleet.daemons[0].front
+        await fleet.wait_until(
+            lambda: any(len(c._exchanges) == 4 for c in front.connections)
+        )
+        fleet.daemons[0].context.phase = DaemonPhase.LEAVING
+        answers = await caller.answers()
+        assert paths(answers) == wanted
+        assert [is_last for *_, is_last in answers] == [False, False, False, True]
+
+    run_fleet(scenario)
+
+
+def test_caller_that_leaves_ends_all_its_pipelined_requests(run_fleet):
+    async def scenario(fleet):
+        slow_down(fleet, 30.0)
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        await caller.send(*[request(f"/lookup/{i}") for i in range(3)])
+        front = fleet.daemons[0].front
+        await fleet.wait_until(
+            lambda: any(len(c._exchanges) == 3 for c in front.connections)
+        )
+        await caller.sock.close()
+        await fleet.wait_until(lambda: not front.connections)
+        await fleet.wait_until(lambda: not any(d.guard.busy for d in fleet.daemons))
+
+    run_fleet(scenario)
+
+
+_REQUESTS = st.lists(
+    st.one_of(
+        st.builds(lambda n: request(f"/lookup/{n}"), st.integers(0, 9)),
+        st.builds(
+            lambda n, body: request(f"/songs/{n}", "POST", body),
+            st.integers(0, 9),
+            st.binary(min_size=1, max_size=30),
+        ),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@given(requests=_REQUESTS, cuts=st.lists(st.integers(0, 400), max_size=8))
+def test_pipelined_bytes_are_split_into_the_same_requests_wherever_they_are_cut(
+    requests, cuts
+):
+    data = b"".join(requests)
+    bounds = sorted({0, len(data), *(c for c in cuts if c < len(data))})
+    pieces = [data[a:b] for a, b in itertools.pairwise(bounds)]
+    connection, found = ServerConnection(None), []
+    parsed = None
+    for piece in pieces:
+        connection.feed(piece)
+        while True:
+            if parsed is None:
+                parsed = connection.parse_request()
+                if parsed is None:
+                    break
+                body = b""
+            while not connection.may_precede:
+                event = connection._parse_event()
+                if event is h11.NEED_DATA:
+                    break
+                body += bytes(event.data) if isinstance(event, h11.Data) else b""
+            if not connection.may_precede:
+                break
+            found.append((parsed.target, body))
+            connection, parsed = connection.successor(), None
+    expected = []
+    for raw in requests:
+        head, _, body = raw.partition(b"\r\n\r\n")
+        expected.append((head.split(b" ")[1].decode(), body))
+    assert found == expected
+
+
+def test_bytes_that_are_no_request_are_refused():
+    connection = ServerConnection(None)
+    connection.feed(b"nonsense\r\n\r\n")
+    with pytest.raises(BadRequest):
+        connection.parse_request()
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,214 @@
+"""A planned stop cuts no request that was read: it is answered, or refused truly.
+
+Callers keep their connections open and go on sending until the process is gone. A
+request that was read and passed on shortly before the end used to be cut off.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+import curio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleyglade_adapters.http.simple_client import (
+    AnswerLost,
+    RequestNotSent,
+    SimpleClient,
+)
+from bramleyglade_core.decisions.stop_schedule import plan_stop
+from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.model.identifiers import Address
+from bramleyglade_standins.local_fleet import KEY, kill_daemon, make_settings
+
+STOP_SECONDS = 1.5
+NOTICE_SECONDS = 0.3
+
+
+def shorten_stop(daemon, stop_seconds=STOP_SECONDS):
+    context = daemon.context
+    context.settings = replace(
+        context.settings, stop_seconds=stop_seconds, notice_seconds=NOTICE_SECONDS
+    )
+
+
+async def stop_and_end(daemon):
+    """Stop a daemon, then end its connections as the end of its process does."""
+    await daemon.stop()
+    await kill_daemon(daemon)
+
+
+class LateCaller:
+    """Sends requests over one connection until the connection is closed."""
+
+    def __init__(self, address, name, path="/songs/1", key=KEY, pause=0.0):
+        self._client = SimpleClient(address)
+        self._name = name
+        self._path = path
+        self._key = key
+        self._pause = pause
+        self.answers = {}
+        """Answer by request; None if the connection was closed instead."""
+
+    async def run(self):
+        for number in range(100_000):
+            request_id = f"{self._name}-{number}"
+            headers = (Header("x-request-id", request_id),)
+            if self._key:
+                headers += (Header("x-api-key", self._key),)
+            try:
+                answer = await self._client.request(
+                    "POST", self._path, b"body", headers, timeout_seconds=20.0
+                )
+            except AnswerLost:
+                self.answers[request_id] = None
+                return
+            except RequestNotSent:
+                return
+            self.answers[request_id] = answer
+            if answer.header("connection") == "close":
+                await self._client.close()
+            await curio.sleep(self._pause)
+
+
+def check_answers(fleet, answers):
+    """Check that refusals did not run, and that what was cut off was never read."""
+    for request_id, answer in answers.items():
+        runs = fleet.runs(request_id)
+        assert runs <= 1
+        if answer is None:
+            assert runs == 0, f"{request_id} ran and was cut off"
+        elif answer.status in (429, 503):
+            assert runs == 0, f"{request_id} was refused and ran"
+            assert answer.header("x-fleet-verdict") == "not-run"
+        else:
+            assert answer.status == 200
+            assert runs == 1
+
+
+@pytest.mark.parametrize("work_seconds", [0.004, 0.15])
+def test_stopping_daemon_cuts_no_request_that_it_has_read(run_fleet, work_seconds):
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        shorten_stop(daemon)
+        for target in fleet.targets:
+            target.behaviour = replace(target.behaviour, work_seconds=work_seconds)
+        address = fleet.settings[0].caller_address
+        callers = [
+            LateCaller(address, f"c{i}", pause=0.001 * (i % 4)) for i in range(12)
+        ]
+        tasks = [await curio.spawn(caller.run) for caller in callers]
+        await curio.sleep(0.1)
+        await stop_and_end(daemon)
+        for task in tasks:
+            await task.join()
+        answers = {k: v for caller in callers for k, v in caller.answers.items()}
+        assert any(answer is not None for answer in answers.values())
+        check_answers(fleet, answers)
+
+    run_fleet(scenario)
+
+
+def test_connection_that_idles_through_a_stop_is_closed_before_its_end(run_fleet):
+    """A caller that sends late in the grace must not find a daemon that still reads."""
+
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        shorten_stop(daemon)
+        address = fleet.settings[0].caller_address
+        callers = [
+            LateCaller(address, f"late{i}", pause=NOTICE_SECONDS + 0.02 * i)
+            for i in range(10)
+        ]
+        tasks = [await curio.spawn(caller.run) for caller in callers]
+        await curio.sleep(0.05)
+        await stop_and_end(daemon)
+        for task in tasks:
+            await task.join()
+        answers = {k: v for caller in callers for k, v in caller.answers.items()}
+        check_answers(fleet, answers)
+
+    run_fleet(scenario)
+
+
+def test_request_that_runs_at_the_end_of_a_stop_gets_a_true_answer(run_fleet):
+    """It must not be cut off, nor be called not run."""
+
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        shorten_stop(daemon)
+        for target in fleet.targets:
+            target.behaviour = replace(target.behaviour, work_seconds=4.0)
+        call = await curio.spawn(fleet.call, 0, "POST")
+        await fleet.wait_until(lambda: any(t.running for t in fleet.targets))
+        await stop_and_end(daemon)
+        answer = await call.join()
+        assert answer.status == 502
+        assert json.loads(answer.body)["code"] == "daemon-stopping"
+        assert answer.header("x-fleet-verdict") == "may-have-run"
+
+    run_fleet(scenario)
+
+
+def test_calls_of_a_target_are_served_while_it_works_on_a_request(run_fleet):
+    """A request that runs through a stop must not fail for want of its calls."""
+
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        shorten_stop(daemon, stop_seconds=3.0)
+        await fleet.announcers[1].cancel()
+        await fleet.daemons[1].guard.drain("target-1")
+        await fleet.wait_until(
+            lambda: len(daemon.context.directory.candidates("catalogue")) == 1
+        )
+        target = fleet.targets[0]
+        target.behaviour = replace(target.behaviour, work_seconds=1.0)
+        parent = await curio.spawn(fleet.call, 0, "POST")
+        await fleet.wait_until(lambda: target.running)
+        await fleet.start_target(1, name="target-2")
+        await fleet.wait_until(
+            lambda: len(daemon.context.directory.candidates("catalogue")) == 2
+        )
+        stop = await curio.spawn(daemon.stop)
+        await fleet.wait_until(lambda: daemon.context.stop_schedule is not None)
+        schedule = daemon.context.stop_schedule
+        await fleet.wait_until(
+            lambda: daemon.context.clock() > schedule.notice_ends_at + 0.05
+        )
+        call = await fleet.call(0, "GET", "/open/x", key="")
+        keyed = await fleet.call(0, "GET", "/lookup/x")
+        assert call.status == 200
+        assert (keyed.status, keyed.header("x-fleet-verdict")) == (503, "not-run")
+        assert (await parent.join()).status == 200
+        await stop.join()
+
+    run_fleet(scenario)
+
+
+@given(
+    now=st.floats(0, 40),
+    has_key=st.booleans(),
+    typical=st.floats(0, 10),
+    stop_seconds=st.floats(1, 30),
+    notice_share=st.floats(0, 0.9),
+)
+def test_schedule_accepts_nothing_that_cannot_end_in_time(
+    now, has_key, typical, stop_seconds, notice_share
+):
+    addresses = [Address("127.0.0.1", 1)] * 3
+    schedule = plan_stop(
+        replace(
+            make_settings("vm-0", "zone-0", addresses, ()),
+            stop_seconds=stop_seconds,
+            notice_seconds=notice_share * stop_seconds,
+        ),
+        0.0,
+    )
+    assert schedule.notice_ends_at <= schedule.acceptance_ends_at <= schedule.ends_at
+    if schedule.accepts(now, has_key, typical):
+        assert now + typical <= stop_seconds
+        assert now < schedule.acceptance_ends_at
+        assert schedule.accepts(now, False, typical)
