Let fronts lend each other retries, and bound the last write of a stop

Cause: the retry budget of the fleet was split evenly, so each of 24 daemons had two or three retries in ten seconds.

The final record has 0.3 s.

--- a/packages/adapters/src/bramleyglade_adapters/link/codec.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/codec.py
@@ -192,6 +192,8 @@
     peer_messages.LeavingTold,
     peer_messages.RecordDigestsAsked,
     peer_messages.RecordDigestsTold,
+    peer_messages.RetriesAsked,
+    peer_messages.RetriesLent,
 )
 
 
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -41,6 +41,8 @@
     leavingTold @34 :LeavingTold;
     recordDigestsAsked @35 :RecordDigestsAsked;
     recordDigestsTold @36 :RecordDigestsTold;
+    retriesAsked @37 :RetriesAsked;
+    retriesLent @38 :RetriesLent;
   }
 }
 
@@ -120,6 +122,8 @@
 struct RecordDigestsTold { digests @0 :List(UInt64); }
 struct RecordsTold { records @0 :List(MemberRecord); }
 struct LeavingTold { daemon @0 :Text; runs @1 :List(TargetRun); }
+struct RetriesAsked { service @0 :Text; retries @1 :Float64; }
+struct RetriesLent { service @0 :Text; retries @1 :Float64; }
 struct SightAsked {}
 struct SightTold { isAway @0 :Bool; reachedForSeconds @1 :Float64; }
 struct LookAsked { name @0 :Text; }
--- a/packages/core/src/bramleyglade_core/decisions/retry_budget.py
+++ b/packages/core/src/bramleyglade_core/decisions/retry_budget.py
@@ -34,6 +34,13 @@
 """Weight of one daemon's report in the moving average of a service's calls."""
 
 
+_LOAN_SECONDS = 1.0
+"""Time within which retries lent by another daemon must be spent."""
+
+_KEPT_RETRIES = 1.0
+"""Retries that a daemon keeps for itself when it lends some."""
+
+
 class SlidingWindowCounter:
     """A sum over a sliding window that ends now, kept in slots."""
 
@@ -71,6 +78,7 @@
 
     In any window a front spends at most its part of the fleet-wide floor plus a
     share of its own first attempts. So the same bound holds for all fronts together.
+    A front that has none left may be lent some by others, which can't spend those.
     """
 
     def __init__(self, settings: FrontSettings) -> None:
@@ -80,6 +88,8 @@
         """When the floor began to ramp up; None if it applies at once."""
         self._first_attempts = SlidingWindowCounter(settings.retry_window_seconds)
         self._retries = SlidingWindowCounter(settings.retry_window_seconds)
+        self._loans: deque[tuple[float, float]] = deque()
+        """Loans of other daemons: until when each holds, and the retries left of it."""
 
     def set_fleet_size(self, daemons: int) -> None:
         """Set the floor to this daemon's part of the fleet-wide floor.
@@ -108,9 +118,48 @@
 
     def can_spend(self, retries: float, now: float) -> bool:
         """Return whether a number of retries, possibly fractional, may be spent."""
+        return retries <= self.available(now)
+
+    def available(self, now: float) -> float:
+        """Return the number of retries that may be spent, loans included."""
+        return max(0.0, self._own_available(now)) + self._loaned(now)
+
+    def lend(self, wanted: float, now: float) -> float:
+        """Lend retries to another daemon.
+
+        Args:
+            wanted: How many it needs.
+            now: Time of this process's clock, in seconds.
+
+        Returns:
+            How many it may spend within `_LOAN_SECONDS`; possibly 0.
+        """
+        lent = min(wanted, self._own_available(now) - _KEPT_RETRIES)
+        if lent <= 0:
+            return 0.0
+        # Counted from the latest time at which the other daemon may spend them, so
+        # that no window holds both its retries and new ones in their place.
+        self._retries.add(lent, now + _LOAN_SECONDS)
+        return lent
+
+    def add_loan(self, retries: float, asked_at: float) -> None:
+        """Add retries that another daemon has lent.
+
+        Args:
+            retries: How many.
+            asked_at: Time of this process's clock before it was asked, in seconds.
+        """
+        self._loans.append((asked_at + _LOAN_SECONDS, retries))
+
+    def _own_available(self, now: float) -> float:
         earned = self._settings.retry_share * self._first_attempts.total(now)
         spent = self._retries.total(now, includes_partial_slot=True)
-        return spent + retries <= self._floor_at(now) + earned
+        return self._floor_at(now) + earned - spent
+
+    def _loaned(self, now: float) -> float:
+        while self._loans and self._loans[0][0] <= now:
+            self._loans.popleft()
+        return sum(left for _, left in self._loans)
 
     def _floor_at(self, now: float) -> float:
         if self._started_at is None or self._settings.retry_floor is None:
@@ -119,8 +168,16 @@
         return self._floor * min(1.0, max(0.0, age))
 
     def spend(self, retries: float, now: float) -> None:
-        """Count retries as spent."""
-        self._retries.add(retries, now)
+        """Count retries as spent, those that were lent first."""
+        self._loaned(now)
+        while self._loans and retries > 0:
+            expires_at, left = self._loans.popleft()
+            used = min(left, retries)
+            retries -= used
+            if left > used:
+                self._loans.appendleft((expires_at, left - used))
+        if retries > 0:
+            self._retries.add(retries, now)
 
 
 class RetryBudgets:
@@ -164,18 +221,41 @@
             may_have_run: Whether the request may have run and made its calls.
             now: Time of this process's clock, in seconds.
         """
+        costs = [
+            (self._budget_for(s), cost)
+            for s, cost in self._costs(service, may_have_run).items()
+        ]
+        if not all(budget.can_spend(cost, now) for budget, cost in costs):
+            return False
+        for budget, cost in costs:
+            budget.spend(cost, now)
+        return True
+
+    def missing(self, service: str, may_have_run: bool, now: float) -> dict[str, float]:
+        """Return what is missing for one retry at a service, by service."""
+        return {
+            name: cost - self._budget_for(name).available(now)
+            for name, cost in self._costs(service, may_have_run).items()
+            if not self._budget_for(name).can_spend(cost, now)
+        }
+
+    def lend(self, service: str, wanted: float, now: float) -> float:
+        """Lend retries at a service to another daemon; return how many."""
+        return self._budget_for(service).lend(wanted, now)
+
+    def add_loan(self, service: str, retries: float, asked_at: float) -> None:
+        """Add retries at a service that another daemon has lent."""
+        self._budget_for(service).add_loan(retries, asked_at)
+
+    def _costs(self, service: str, may_have_run: bool) -> dict[str, float]:
+        """Return what one retry at a service costs, by service."""
         cost_by_service = {service: 1.0}
         if may_have_run:
             calls_per_run = self._calls_per_run_by_service.get(service, {})
             for callee, per_run in calls_per_run.items():
                 subtotal = cost_by_service.get(callee, 0.0)
                 cost_by_service[callee] = subtotal + per_run
-        costs = [(self._budget_for(s), cost) for s, cost in cost_by_service.items()]
-        if not all(budget.can_spend(cost, now) for budget, cost in costs):
-            return False
-        for budget, cost in costs:
-            budget.spend(cost, now)
-        return True
+        return cost_by_service
 
     def note_run(self, is_idempotent: bool) -> None:
         """Count a run of a request at a target on this VM.
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -143,6 +143,23 @@
     runs: tuple[TargetRun, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RetriesAsked:
+    """A front without retries left asks a peer to lend it some."""
+
+    service: str
+    retries: float
+    """How many it needs."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetriesLent:
+    """Retries of the sender's budget that the receiver may spend."""
+
+    service: str
+    retries: float
+
+
 @dataclass(frozen=True, slots=True)
 class SightAsked:
     """A daemon asks a member whether it reaches the store."""
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -24,6 +24,7 @@
 from bramleyglade_daemon.front.caller_task import Front
 from bramleyglade_daemon.front.dispatcher import Dispatcher
 from bramleyglade_daemon.front.guard_ports import GuardPorts
+from bramleyglade_daemon.front.retry_loans import RetryLoans
 from bramleyglade_daemon.front.team_limiter import TeamLimiter
 from bramleyglade_daemon.guard.announce_server import AnnounceServer
 from bramleyglade_daemon.guard.ejector import Ejector
@@ -41,6 +42,9 @@
 
 _RESTART_DELAY_SECONDS = 1.0
 _STOP_POLL_SECONDS = 0.05
+_FINAL_RECORD_SECONDS = 0.3
+"""Time for the last record; a silent store must not delay the end of the process."""
+
 _LAST_ANSWERS_SECONDS = 0.2
 """Time for the answers to requests that are given up at the end of a stop."""
 
@@ -74,7 +78,8 @@
         self.keepers = Keepers(context, self.peers, self.shared)
         self.guard = Guard(context)
         local = LocalGuardPort(self.guard, context.settings.peers.window_bytes)
-        dispatcher = Dispatcher(context, GuardPorts(context, self.peers, local))
+        ports = GuardPorts(context, self.peers, local)
+        dispatcher = Dispatcher(context, ports, RetryLoans(context, self.peers))
         self.limiter = TeamLimiter(context, self.keepers)
         self.front = Front(context, dispatcher, self.limiter)
         self.peers.handler = MessageHandler(
@@ -157,7 +162,8 @@
                 await curio.sleep(_STOP_POLL_SECONDS)
         context.phase = DaemonPhase.GONE
         await self.records.publish()
-        await self.member_store.write_final_record()
+        async with curio.ignore_after(_FINAL_RECORD_SECONDS):
+            await self.member_store.write_final_record()
         await self.guard.close()
         await curio.sleep(_STOP_POLL_SECONDS)
         for task in self._tasks:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -27,6 +27,8 @@
     RecordDigestsTold,
     RecordsAsked,
     RecordsTold,
+    RetriesAsked,
+    RetriesLent,
     SightAsked,
     SuspicionTold,
     TargetViewTold,
@@ -149,6 +151,12 @@
                 self._records.request_unknown, link, message.digests, daemon=True
             )
 
+    @_handle.register
+    async def _(self, message: RetriesAsked, link: Link, stream: int) -> None:
+        budgets = self._context.retry_budgets
+        lent = budgets.lend(message.service, message.retries, self._context.clock())
+        await self._send_answer(link, stream, RetriesLent(message.service, lent))
+
     @_handle.register
     async def _(self, message: LeavingTold, link: Link, stream: int) -> None:
         await self._records.handle_leaving(message)
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -178,7 +178,7 @@
                 failed = await self._try_once(attempts, request)
                 if failed is None:
                     return
-                attempts.check_retry(failed)
+                await attempts.check_retry(failed)
                 await attempts.end()
         except AttemptError:
             if attempts.fallback_answer is None:
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -33,6 +33,7 @@
     from bramleyglade_daemon.front.guard_ports import GuardPorts
     from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
     from bramleyglade_daemon.front.request_log import RequestLog
+    from bramleyglade_daemon.front.retry_loans import RetryLoans
 
 _TARGET_REFUSAL_CODES = frozenset({ErrorCode.TARGET_SHED})
 """Refusals sent by the target itself. Any other attempt that has not run never reached
@@ -67,9 +68,12 @@
 class Dispatcher:
     """Sends admitted requests to targets."""
 
-    def __init__(self, context: Context, ports: GuardPorts) -> None:
+    def __init__(
+        self, context: Context, ports: GuardPorts, retries: RetryLoans
+    ) -> None:
         self._context = context
         self._ports = ports
+        self._retries = retries
         self._routable = RoutableTargets(context.directory)
         self._last_request = 0
 
@@ -94,12 +98,9 @@
         """State shared by all tasks of the daemon."""
         return self._context
 
-    def try_spend_retry(self, request: AdmittedRequest, verdict: Verdict) -> bool:
+    async def try_spend_retry(self, request: AdmittedRequest, verdict: Verdict) -> bool:
         """Spend one retry of the service's budget; False if it is used up."""
-        may_have_run = verdict is not Verdict.NOT_RUN
-        return self._context.retry_budgets.try_spend(
-            request.service.name, may_have_run, self._context.clock()
-        )
+        return await self._retries.try_spend(request.service.name, verdict)
 
     def port(self, candidate: Candidate) -> AttemptPort:
         """Return the port of a target's guard."""
@@ -214,7 +215,7 @@
             return event
         if self._context.is_leaving or not self._has_other_target():
             return await self.receive()
-        if not self._try_spend_retry(Verdict.MAY_HAVE_RUN):
+        if not await self._try_spend_retry(Verdict.MAY_HAVE_RUN):
             return await self.receive()
         assert self.stream is not None
         await self.stream.cancel()
@@ -294,7 +295,7 @@
             await stream.cancel()
         await self._end_upload()
 
-    def check_retry(self, failed: AttemptFailed) -> None:
+    async def check_retry(self, failed: AttemptFailed) -> None:
         """Check that another attempt is safe and within the limits.
 
         Args:
@@ -310,13 +311,13 @@
         if failed.code in _TRANSIENT_CODES and self._candidate is not None:
             self._tried.discard(self._candidate.target)
         self._verdict = self._verdict.combined_with(failed.verdict)
-        if not self._may_retry(failed):
+        if not await self._may_retry(failed):
             raise AttemptError(
                 failed.code, failed.detail, self._verdict, failed.retry_after
             )
         self._hop.set_attribute("retry.after", failed.code.value)
 
-    def _may_retry(self, failed: AttemptFailed) -> bool:
+    async def _may_retry(self, failed: AttemptFailed) -> bool:
         if self._is_given_up:
             return False
         is_idempotent = self._request.is_idempotent
@@ -333,10 +334,10 @@
         if self._count - self._undelivered >= self._max_attempts:
             return False
         is_charged, self._is_retry_charged = self._is_retry_charged, False
-        return is_charged or self._try_spend_retry(failed.verdict)
+        return is_charged or await self._try_spend_retry(failed.verdict)
 
-    def _try_spend_retry(self, verdict: Verdict) -> bool:
-        return self._dispatcher.try_spend_retry(self._request, verdict)
+    async def _try_spend_retry(self, verdict: Verdict) -> bool:
+        return await self._dispatcher.try_spend_retry(self._request, verdict)
 
     def _attempt_timeout(self) -> float | None:
         """Return this attempt's timeout in seconds; None if it has none."""
--- /dev/null
+++ b/tests/test_retry_loans.py
@@ -0,0 +1,113 @@
+"""Retries that daemons lend each other stay within the budget of the whole fleet."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import curio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleyglade_core.decisions.retry_budget import RetryBudget
+from bramleyglade_core.model.settings import FrontSettings
+from bramleyglade_core.model.verdict import Verdict
+
+WINDOW_SECONDS = 10.0
+FLOOR = 24.0
+
+_STEPS = st.lists(
+    st.tuples(
+        st.floats(0.0, 3.0),
+        st.integers(0, 2),
+        st.integers(0, 2),
+        st.sampled_from(["spend", "spend", "borrow"]),
+        st.floats(0.0, 0.9),
+    ),
+    max_size=120,
+)
+
+
+def make_budgets(count=3):
+    settings = FrontSettings(
+        retry_share=0.0, retry_floor=FLOOR, retry_window_seconds=WINDOW_SECONDS
+    )
+    budgets = [RetryBudget(settings) for _ in range(count)]
+    for budget in budgets:
+        budget.set_fleet_size(count)
+    return budgets
+
+
+@given(steps=_STEPS)
+def test_no_window_holds_more_retries_than_the_fleets_floor(steps):
+    budgets, spent, now = make_budgets(), [], 100.0
+    for pause, who, lender, action, transit in steps:
+        now += pause
+        if action == "borrow" and who != lender:
+            asked_at = now
+            now += transit
+            lent = budgets[lender].lend(1.0, now)
+            budgets[who].add_loan(lent, asked_at)
+        elif budgets[who].can_spend(1.0, now):
+            budgets[who].spend(1.0, now)
+            spent.append(now)
+    for start in spent:
+        window = [t for t in spent if start <= t < start + WINDOW_SECONDS]
+        assert len(window) <= FLOOR
+
+
+def test_loan_lets_one_front_use_what_the_others_leave():
+    one, *others = make_budgets()
+    now, spent = 100.0, 0
+    for _ in range(int(FLOOR)):
+        if not one.can_spend(1.0, now):
+            one.add_loan(max(o.lend(1.0, now) for o in others), now)
+        if one.can_spend(1.0, now):
+            one.spend(1.0, now)
+            spent += 1
+    assert spent > FLOOR / 2
+
+
+def test_loan_that_is_not_spent_in_time_is_lost():
+    one, other, _ = make_budgets()
+    one.spend(FLOOR / 3, 100.0)
+    one.add_loan(other.lend(2.0, 100.0), 100.0)
+    assert one.can_spend(2.0, 100.9)
+    assert not one.can_spend(0.1, 101.0)
+
+
+def test_daemon_that_has_few_retries_lends_none():
+    budget = make_budgets()[0]
+    budget.spend(FLOOR / 3 - 1.0, 100.0)
+    assert budget.lend(1.0, 100.0) == 0.0
+
+
+def test_front_without_retries_borrows_one_from_a_peer(run_fleet):
+    async def scenario(fleet):
+        for daemon in fleet.daemons:
+            budgets = daemon.context.retry_budgets
+            budgets._settings = replace(
+                budgets._settings, retry_share=0.0, retry_floor=9.0
+            )
+            budgets._started_at = -100.0
+            budgets.set_fleet_size(3)
+        loans = fleet.daemons[0].front.dispatcher._retries
+        allowed = 0
+        while await loans.try_spend("catalogue", Verdict.NOT_RUN):
+            allowed += 1
+        assert 3 < allowed <= 9
+        assert not await loans.try_spend("catalogue", Verdict.NOT_RUN)
+
+    run_fleet(scenario, daemons=3)
+
+
+def test_silent_peer_does_not_hold_up_a_retry(run_fleet):
+    async def scenario(fleet):
+        loans = fleet.daemons[0].front.dispatcher._retries
+        budgets = fleet.daemons[0].context.retry_budgets
+        budgets._settings = replace(budgets._settings, retry_share=0.0, retry_floor=1.0)
+        fleet.silence_links(1, 0)
+        async with curio.timeout_after(5.0):
+            while await loans.try_spend("catalogue", Verdict.NOT_RUN):
+                pass
+
+    run_fleet(scenario)
