--- a/tests/platform_adapter/test_broken_answers.py
+++ b/tests/platform_adapter/test_broken_answers.py
@@ -159,3 +159,52 @@
     assert not classification.is_not_run
     assert not classification.is_leaving
     assert classification.requests_per_second is None
+
+
+def answer_with_id(request_id):
+    return head_with_length(request_id) + BODY
+
+
+def answer_without_id(_):
+    return b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 10\r\n\r\n" + BODY
+
+
+SECOND_COPIES = {
+    "before the next answer": lambda copy, answer: copy + answer,
+    "instead of the next answer": lambda copy, _: copy,
+    "after an informational answer": lambda copy, answer: (
+        b"HTTP/1.1 102 Processing\r\n\r\n" + copy + answer
+    ),
+    "in the middle of the next head": lambda copy, answer: answer[:30] + copy,
+    "in the middle of the next body": lambda copy, answer: answer[:-4] + copy,
+}
+
+
+@pytest.mark.parametrize("place", SECOND_COPIES)
+@pytest.mark.parametrize("make_copy", [answer_with_id, answer_without_id])
+def test_second_copy_of_an_answer_never_reaches_the_next_caller(
+    run_platform_fleet, place, make_copy
+):
+    """A target may send a copy late, on a connection that is in use again."""
+
+    async def scenario(fleet):
+        def second(request_id, earlier_id):
+            whole = answer_with_id(request_id).replace(BODY, b"abcdefghij")
+            return SECOND_COPIES[place](make_copy(earlier_id), whole)
+
+        target = ScriptedTarget(
+            lambda request_id, _: answer_with_id(request_id), second
+        )
+        await use_only(fleet, target)
+        while (first := await outcome(fleet)) is None or first[0] == 503:
+            pass
+        assert first == (200, BODY)
+        result = await outcome(fleet)
+        if place == "in the middle of the next body":
+            # No reader can tell bytes of the body's stated length from its own.
+            assert result[0] == 200
+        else:
+            assert result[0] == 502
+        assert len(set(target.request_ids)) == len(target.request_ids)
+
+    run_platform_fleet(scenario)
