Serve holders with few requests by single tokens, and number their renewals by time

Cause: a daemon that had served one request of a team renewed its share once a second for another 16 s. With 140 teams over 233 daemons most pairs see one request in a minute and a half, so a request cost some 17 renewals, each a message between zones. A holding that was dropped and made again numbered its renewals from 1, which the keeper took for old ones: the team got 503, no keeper grants more, until its allocation lapsed.

Change: below 0.1 requests a second, sustained, a holder asks for tokens only; it renews once more when the token is spent and then holds nothing. A short wait that the keeper names (50 ms at most) is waited out once, as a new keeper starts with an empty bucket. Holdings are numbered from the clock.

Ruled out: dropping shares at once for all (they carry a team over the loss of its keeper).

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -139,6 +139,7 @@
   returnedLevel @5 :Float64;
   demand @6 :Float64;
   wantedTokens @7 :UInt32;
+  isTokensOnly @8 :Bool;
 }
 
 struct ShareGranted {
--- a/packages/core/src/bramleyglade_core/decisions/share_holding.py
+++ b/packages/core/src/bramleyglade_core/decisions/share_holding.py
@@ -22,6 +22,17 @@
 _NO_ANSWER_BACKOFF_SECONDS = 0.2
 """Time before the next renewal after a keeper did not answer."""
 
+_SUSTAINED_HALF_LIFE_SECONDS = 20.0
+"""The same for the decision whether a holder needs a share at all."""
+
+_SHARE_DEMAND = 0.1
+"""Sustained demand, in requests a second, below which a holder asks for single tokens
+only. A share is renewed every second, and would cost more than the requests it serves
+where a team's requests are spread over many daemons."""
+
+_DEMAND_TERM_RENEWALS = 3.0
+"""Renewal intervals for which the keeper counts a reported demand."""
+
 TOKEN_TERM_SECONDS = 1.0
 """How long a single token is valid, from before the renewal was sent."""
 
@@ -57,7 +68,17 @@
     The bucket refills at its units' part of the rate, up to their part of the burst.
     """
 
-    def __init__(self, holder: DaemonId, settings: LimitSettings) -> None:
+    def __init__(
+        self, holder: DaemonId, settings: LimitSettings, first_sequence: int = 0
+    ) -> None:
+        """Create a holding of nothing.
+
+        Args:
+            holder: The daemon that holds it.
+            settings: Limits and terms of the grants.
+            first_sequence: Number that no renewal of an earlier holding of the same
+                daemon and team has reached.
+        """
         self._holder = holder
         self._settings = settings
         self.units = 0
@@ -70,7 +91,8 @@
         self._tokens = 0
         self._tokens_end = float("-inf")
         self._returned_level = 0.0
-        self._sequence = 0
+        self._sequence = first_sequence
+        self._sustained_demand = DemandMeter(_SUSTAINED_HALF_LIFE_SECONDS)
         self._asked_at: float | None = None
         self.backoff_until = float("-inf")
         """Time before which another renewal would gain nothing."""
@@ -89,6 +111,21 @@
         """Count a request of the team, admitted or not."""
         self.demand.note(now)
         self._recent_demand.note(now)
+        self._sustained_demand.note(now)
+        if self._needs_share(now):
+            self.next_renewal_at = min(self.next_renewal_at, now)
+
+    def _needs_share(self, now: float) -> bool:
+        return self._sustained_demand.rate(now) >= _SHARE_DEMAND
+
+    def is_unused(self, now: float) -> bool:
+        """Return whether the daemon holds nothing and needs no renewal."""
+        return (
+            self.units == 0
+            and self._asked_at is None
+            and math.isinf(self.next_renewal_at)
+            and now >= self._tokens_end
+        )
 
     def recall(self, now: float) -> None:
         """Make a renewal due now that reports only the most recent demand."""
@@ -143,6 +180,13 @@
         if self._is_recalled:
             demand = min(demand, self._recent_demand.rate(now))
             self._is_recalled = False
+        needs_share = self._needs_share(now)
+        if not needs_share:
+            # Each request is reported once, so it has to count for the whole term.
+            term = _DEMAND_TERM_RENEWALS * self._settings.renew_seconds
+            demand = max(demand, 1.0 / term)
+            if not self.units and not self._tokens and not waiting:
+                self.next_renewal_at = math.inf
         return ShareAsked(
             team=team.name,
             holder=self._holder,
@@ -152,6 +196,7 @@
             returned_level=returned,
             demand=demand,
             wanted_tokens=waiting,
+            is_tokens_only=not needs_share,
         )
 
     def apply_grant(self, granted: ShareGranted, team: Team, now: float) -> bool:
--- a/packages/core/src/bramleyglade_core/decisions/team_allocator.py
+++ b/packages/core/src/bramleyglade_core/decisions/team_allocator.py
@@ -251,7 +251,9 @@
     def _grant(
         self, asked: ShareAsked, allocation: _Allocation, team: Team, now: float
     ) -> ShareGranted:
-        target = self._target_units(allocation, team, now)
+        target = 0
+        if not asked.is_tokens_only:
+            target = self._target_units(allocation, team, now)
         added_units, added_level = self._grant_units(allocation, target, team)
         tokens = self._grant_tokens(asked, added_level)
         self._allocation_by_holder[asked.holder] = replace(
--- a/packages/core/src/bramleyglade_core/model/shares.py
+++ b/packages/core/src/bramleyglade_core/model/shares.py
@@ -31,6 +31,8 @@
     """Recent rate of requests at this holder, per second."""
     wanted_tokens: int
     """Number of requests that wait for the answer."""
+    is_tokens_only: bool = False
+    """Whether the holder has too few requests for a share."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -16,12 +16,20 @@
     from bramleyglade_daemon.fleet.keepers import Keepers
 
 _RENEW_CHECK_SECONDS = 0.2
+_SEQUENCES_PER_SECOND = 1000
+"""Renewals of one team that a daemon never exceeds, so that numbers from the clock grow
+from one holding to the next. The keeper ignores a renewal with an old number."""
+
 _IDLE_REQUESTS_PER_SECOND = 0.01
 """Requests per second below which a team's share is given back."""
 
 _MAX_WAITING_REQUESTS = 256
 """Requests of one team that may wait for its share at the same time."""
 
+_MAX_TOKEN_WAIT_SECONDS = 0.05
+"""Longest wait, once a request, for the keeper's next token. A new keeper starts with
+an empty bucket, which the rates of most teams fill within that time."""
+
 _MAX_REFILL_WAIT_SECONDS = 0.5
 """Longest wait for the share's own refill if no keeper answers."""
 
@@ -79,6 +87,9 @@
                 team = self._context.configuration.team_by_name.get(name)
                 if team is None:
                     del self._share_by_team[name]
+                elif not share.waiting and share.holding.is_unused(now):
+                    if share.holding.demand.rate(now) < _IDLE_REQUESTS_PER_SECOND:
+                        del self._share_by_team[name]
                 elif (
                     not share.holding.is_renewal_pending
                     and now >= share.holding.next_renewal_at
@@ -118,7 +129,9 @@
         share = self._share_by_team.get(team.name)
         if share is None:
             limits = self._context.settings.limits
-            share = _TeamShare(ShareHolding(self._context.daemon, limits))
+            first_sequence = int(self._context.clock() * _SEQUENCES_PER_SECOND)
+            holding = ShareHolding(self._context.daemon, limits, first_sequence)
+            share = _TeamShare(holding)
             self._share_by_team[team.name] = share
         return share
 
@@ -134,12 +147,18 @@
     async def _wait_for_share(self, share: _TeamShare, team: Team) -> bool:
         """Wait for a grant or, if no keeper answers, for the share's own refill."""
         holding = share.holding
+        has_waited = False
         while True:
             now = self._context.clock()
             refill = holding.seconds_to_token(team, now)
             is_too_slow = refill > self._context.settings.limits.answer_wait_seconds
             if is_too_slow and now < holding.backoff_until:
-                return False  # No token arrives in time, so fail fast.
+                wait = holding.backoff_until - now
+                if has_waited or wait > _MAX_TOKEN_WAIT_SECONDS:
+                    return False  # No token arrives in time, so fail fast.
+                has_waited = True
+                await curio.sleep(wait)
+                continue
             refill = min(refill, _MAX_REFILL_WAIT_SECONDS)
             if now >= holding.backoff_until:
                 await curio.ignore_after(refill, self._await_answer, share, team)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import replace
 
+import curio
 from benchmarks.limiter import (
     KeeperModel,
     ideal,
@@ -121,7 +122,7 @@
 
 
 def test_share_is_not_spent_after_its_term_has_ended(clock):
-    holding = make_holding()
+    holding = ShareHolding(NEW, LIMITS)
     allocator = TeamAllocator(LIMITS, float(TEAM.burst), clock.now)
     note_arrivals(holding, clock.now)
     granted = allocator.answer(
@@ -136,7 +137,7 @@
 def test_share_granted_after_a_lapse_holds_only_the_granted_level(clock):
     """Guards against a share granted after a lapse refilling for the lapsed time."""
     allocator = TeamAllocator(LIMITS, 0.0, clock.now)
-    holding = make_holding()
+    holding = ShareHolding(NEW, LIMITS)
     grant_share(allocator, holding, clock)
     assert holding.units
     assert admit_all(holding, clock.now) == 0
@@ -149,7 +150,7 @@
 
 
 def test_extension_lengthens_a_share_only_before_it_lapses(clock):
-    holding = make_holding()
+    holding = ShareHolding(NEW, LIMITS)
     holding.units, holding.term_end = 1000, clock.now + 1.0
     holding.extend(clock.now, clock.now + 5.0)
     assert holding.term_end == clock.now + 5.0
@@ -159,7 +160,7 @@
 
 
 def test_lowered_rate_and_burst_apply_to_held_shares_at_once(clock):
-    holding = make_holding()
+    holding = ShareHolding(NEW, LIMITS)
     holding.units, holding.level = TOTAL_SHARE_UNITS, 5.0
     holding.term_end = clock.now + 100
     holding._refilled_at = clock.now
@@ -436,3 +437,65 @@
         assert keeper.phase is KeeperPhase.GRANTING
 
     run_fleet(scenario, daemons=3, zones=1)
+
+
+def test_holder_with_few_requests_costs_two_renewals_a_request(clock):
+    """A share is renewed each second, also long after its last request."""
+    allocator = TeamAllocator(LIMITS, level=TEAM.burst, free_since=clock())
+    holding = ShareHolding(NEW, LIMITS)
+    renewals = 0
+    for _ in range(5):
+        holding.note_arrival(clock())
+        assert not holding.try_admit(TEAM, clock())
+        renewals += renew_with(holding, allocator, clock, waiting=1)
+        assert holding.try_admit(TEAM, clock())
+        for _ in range(300):
+            if holding.next_renewal_at <= clock():
+                renewals += renew_with(holding, allocator, clock)
+            clock.advance(0.1)
+        assert holding.is_unused(clock())
+        assert allocator.held_tokens == 0
+    assert renewals == 2 * 5
+
+
+def test_holder_with_steady_requests_gets_a_share(clock):
+    allocator = TeamAllocator(LIMITS, level=TEAM.burst, free_since=clock())
+    holding = ShareHolding(NEW, LIMITS)
+    for _ in range(40):
+        holding.note_arrival(clock())
+        if not holding.try_admit(TEAM, clock()):
+            renew_with(holding, allocator, clock, waiting=1)
+        elif holding.next_renewal_at <= clock():
+            renew_with(holding, allocator, clock)
+        clock.advance(0.25)
+    assert holding.units > 0
+
+
+def test_team_that_returns_after_a_pause_is_not_taken_for_an_old_renewal(run_fleet):
+    """The keeper remembers the last number of a holding that was dropped."""
+
+    async def scenario(fleet):
+        limiter = fleet.daemons[0].limiter
+        team = fleet.daemons[0].context.configuration.team_by_name["studio"]
+        for _ in range(4):
+            await limiter.admit(team)
+            share = limiter._share_by_team["studio"]
+            share.holding.release()
+            await limiter._request_share(share, team)
+            del limiter._share_by_team["studio"]
+            await curio.sleep(0.01)
+
+    run_fleet(scenario)
+
+
+def renew_with(holding, allocator, clock, waiting=0):
+    """Let a holding renew, and return how many renewals that took."""
+    count = 0
+    must_renew = True
+    while must_renew:
+        asked = holding.renew(TEAM, clock(), waiting)
+        granted = allocator.answer(asked, TEAM, clock(), is_collecting=False)
+        must_renew = holding.apply_grant(granted, TEAM, clock())
+        waiting = 0
+        count += 1
+    return count
