--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 READY := .venv/ready
 
-.PHONY: setup test lint format demo bench faults capacity plots mutations
+.PHONY: setup test lint format demo bench faults capacity plots mutations regression
 setup: $(READY)
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -40,3 +40,7 @@
 
 mutations: setup
 	$(BIN)/python -m benchmarks.mutations
+
+# Scores SITES with the users' bench, BENCH, beside the results in BEFORE, if given.
+regression: setup
+	$(BIN)/python -m benchmarks.regression $(SITES) --bench "$(BENCH)" $(if $(BEFORE),--before "$(BEFORE)") $(if $(SAVE),--save "$(SAVE)")
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -11,6 +11,10 @@
 
 _SECONDS_PER_DAY = 86_400
 _MICROSECONDS_PER_SECOND = 1e6
+_MEMBERS_PER_PAGE = 50
+_MEMBER_READERS = 3
+"""Daemons that list all members every 20 s."""
+
 _BASE_MEMORY_MB = 42.3
 """Resident memory of an idle daemon, as `benchmarks.latency` prints it."""
 
@@ -138,7 +142,8 @@
 
 def store_calls(size: FleetSize) -> tuple[float, float]:
     """Return the store's reads and writes a second, watches included."""
-    discovery_reads = size.daemons / 20.0
+    pages = math.ceil(size.daemons / _MEMBERS_PER_PAGE)
+    discovery_reads = _MEMBER_READERS * pages / 20.0
     reads = size.watchers / size.refresh_seconds + discovery_reads
     starts = (size.restarts_per_day + size.failures_per_day) / _SECONDS_PER_DAY
     shards_per_daemon = size.shards / size.daemons
--- a/packages/adapters/src/bramleyglade_adapters/link/link.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -25,6 +25,9 @@
 MAX_UNSENT_BYTES = 16_777_216
 """Size of the send queue, in bytes, above which the link is closed."""
 
+_ONE_WAY_STREAM = 0
+"""Number that no stream has; each side numbers those that it opens from 1."""
+
 _HANDSHAKE_TIMEOUT_SECONDS = 2.0
 """Timeout of the wait for the peer's first message."""
 
@@ -200,7 +203,11 @@
         """
         if self._is_closed:
             raise LinkLost(ErrorCode.PEER_LOST, "no link to the peer")
-        data = encode(Envelope(stream, is_answer, message))
+        await self._queue_bytes(encode(Envelope(stream, is_answer, message)))
+
+    async def _queue_bytes(self, data: bytes) -> None:
+        if self._is_closed:
+            raise LinkLost(ErrorCode.PEER_LOST, "no link to the peer")
         self._unsent.append(data)
         self._unsent_bytes += len(data)
         if self._unsent_bytes > MAX_UNSENT_BYTES:
@@ -210,6 +217,13 @@
             )
         await self._has_unsent.set()
 
+    async def send_encoded(self, data: bytes) -> None:
+        """Send an encoded one-way message; drop it if the link is lost."""
+        try:
+            await self._queue_bytes(data)
+        except LinkLost as error:
+            _LOG.debug("MessageLost", extra={"why": error.detail})
+
     async def send_one_way(self, message: Any) -> None:
         """Send a message that needs no answer; drop it if the link is lost."""
         self._last_stream += 1
@@ -299,3 +313,8 @@
         self._accepted_by_stream.clear()
         for receiver in receivers:
             await receiver.handle_link_loss()
+
+
+def encode_one_way(message: Any) -> bytes:
+    """Encode a message that needs no answer, to be sent over several links."""
+    return encode(Envelope(_ONE_WAY_STREAM, False, message))
--- a/packages/daemon/src/bramleyglade_daemon/fleet/member_records.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/member_records.py
@@ -27,8 +27,11 @@
     from bramleyglade_daemon.fleet.peers import Peers
 
 _RELAY_DELAY_SECONDS = 0.02
-"""Time in which changes are collected before their digests are passed on. When a fleet
-starts, hundreds of records change at once."""
+"""Time in which changes are collected before their digests are passed on."""
+
+_RELAY_PAUSE_SECONDS = 0.1
+"""Least time between two batches. When a fleet starts, hundreds of records change, and
+each batch is a message to each neighbour."""
 
 _REQUEST_TIMEOUT_SECONDS = 1.0
 """Timeout of a request for records; the next comparison finds what is still missing."""
@@ -103,6 +106,7 @@
                 digests = tuple(d for d, source in unrelayed.items() if source != name)
                 if digests:
                     await link.send_one_way(RecordDigestsTold(digests))
+            await curio.sleep(_RELAY_PAUSE_SECONDS)
 
     async def request_unknown(self, link: Link, digests: Iterable[int]) -> None:
         """Request those records from a peer that this daemon lacks.
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -36,7 +36,7 @@
 _PROBE_TIMEOUT_SECONDS = 0.8
 """Timeout of an indirect probe; the peer's own dial may take half a second of it."""
 
-_FIRST_PERIODS = 4
+_FIRST_PERIODS = 2
 """Heartbeats in one period while a daemon that has just started awaits evidence."""
 
 _NEIGHBOUR_PERIOD_SECONDS = 1.0
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -8,7 +8,7 @@
 import curio
 
 from bramleyglade_adapters.http.wire import connect, disable_nagle
-from bramleyglade_adapters.link.link import Link, LinkLost
+from bramleyglade_adapters.link.link import Link, LinkLost, encode_one_way
 from bramleyglade_core.model.errors import BadInput, ErrorCode, FleetError
 from bramleyglade_core.model.peer_messages import PROTOCOL_VERSION, HelloSaid
 
@@ -34,8 +34,7 @@
 """Time between two checks whether an open link is still needed."""
 
 _MAX_RECIPIENTS = 64
-"""Most peers sent a target's view at once; others get it with heartbeats or answers.
-Writing a message takes about 50 us, so one round takes at most about 3 ms."""
+"""Most peers sent a target's view at once; others get it with heartbeats or answers."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -137,9 +136,10 @@
 
     async def send_to_neighbours(self, message: Any, exclude: str = "") -> None:
         """Send a message to all neighbours but one; they forward what is new."""
+        data = encode_one_way(message)
         for link in self.neighbour_links():
             if link.peer_name != exclude:
-                await link.send_one_way(message)
+                await link.send_encoded(data)
 
     async def send_to_linked_peers(self, message: Any) -> None:
         """Send a message to all linked peers, or to a random sample if there are many.
@@ -149,8 +149,9 @@
         links = self.open_links()
         if len(links) > _MAX_RECIPIENTS:
             links = self._context.random.sample(links, _MAX_RECIPIENTS)
+        data = encode_one_way(message)
         for link in links:
-            await link.send_one_way(message)
+            await link.send_encoded(data)
 
     def is_neighbour(self, link: Link) -> bool:
         """Return whether a link leads to a neighbour."""
