End a caller's requests when its connection is reset while it is read ahead

Cause: the reader took only an orderly close for the caller's end; a reset ended the reader's task and left the caller's requests running. Change: a reset counts as the end, with a log line; the test resets the connection too.

--- a/packages/daemon/src/bramleyglade_daemon/front/pipe.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/pipe.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
     from bramleyglade_adapters.http.server_connection import RequestHead
     from bramleyglade_daemon.fleet.context import Context
 
+_LOG = logging.getLogger(__name__)
+
 MAX_AHEAD = 8
 """Requests of one connection that are read before an earlier one is answered. Those
 beyond stay in the socket, where they hold up only their own caller."""
@@ -160,7 +163,11 @@
             request = self._parse()
             if request is None:
                 await wait_readable(self._sock)
-                data = self._sock._socket.recv(RECEIVE_BYTES)
+                try:
+                    data = await self._sock.recv(RECEIVE_BYTES)
+                except OSError as error:
+                    _LOG.debug("CallerGone", extra={"why": str(error)})
+                    data = b""
                 if not data:
                     await self._closed.set()
                     return
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -8,6 +8,8 @@
 
 import itertools
 import json
+import socket
+import struct
 from dataclasses import replace
 
 import curio
@@ -196,7 +198,8 @@
     run_fleet(scenario)
 
 
-def test_caller_that_leaves_ends_all_its_pipelined_requests(run_fleet):
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_caller_that_leaves_ends_all_its_pipelined_requests(run_fleet, is_reset):
     async def scenario(fleet):
         slow_down(fleet, 30.0)
         caller = PipingCaller(fleet.settings[0].caller_address)
@@ -205,6 +208,10 @@
         await fleet.wait_until(
             lambda: any(len(c._exchanges) == 3 for c in front.connections)
         )
+        if is_reset:
+            caller.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
         await caller.sock.close()
         await fleet.wait_until(lambda: not front.connections)
         await fleet.wait_until(lambda: not any(d.guard.busy for d in fleet.daemons))
