--- a/packages/core/src/bramleyglade_core/decisions/directory.py
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -62,6 +62,9 @@
         """Increases with each change."""
         self.members_version = 0
         """Increases when a member appears, leaves, or is no longer or again live."""
+        self._serving_version = -1
+        """Version of the members that `_serving_names` was built from."""
+        self._serving_names: list[str] = []
         self.digests = RecordDigests()
 
     @property
@@ -200,12 +203,14 @@
 
     def serving_names(self) -> list[str]:
         """Return the live daemons that are not leaving."""
-        records = self.record_by_name
-        return [
-            name
-            for name in self.live_names()
-            if records[name].phase is DaemonPhase.SERVING
-        ]
+        if self._serving_version != self.members_version:
+            self._serving_version = self.members_version
+            self._serving_names = [
+                name
+                for name in self.live_names()
+                if self._has_phase(name, DaemonPhase.SERVING)
+            ]
+        return self._serving_names
 
     def member_names(self) -> list[str]:
         """Return all members that have not left, including suspected ones."""
--- a/tests/test_member_records.py
+++ b/tests/test_member_records.py
@@ -95,6 +95,37 @@
     assert directory.members_version == version + 2
 
 
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["merge", "suspect", "clear", "forget"]),
+            st.integers(0, 5),
+            st.integers(1, 4),
+            st.sampled_from(DaemonPhase),
+        ),
+        max_size=40,
+    )
+)
+def test_serving_names_follow_every_change_of_the_members(steps):
+    directory, now = Directory(), 0.0
+    for action, number, sequence, phase in steps:
+        name = f"vm-{number}"
+        if action == "merge":
+            directory.merge(make_record(number, sequence, phase=phase))
+        elif action == "suspect":
+            directory.suspect(name)
+        elif action == "clear":
+            directory.clear_suspicion(name)
+        else:
+            now += 2000.0
+            directory.forget_absent(now)
+        assert directory.serving_names() == [
+            member
+            for member, record in directory.record_by_name.items()
+            if directory.is_live(member) and record.phase is DaemonPhase.SERVING
+        ]
+
+
 def test_peers_learn_of_all_members_though_each_read_only_some(run_fleet):
     """The store's list shows a starting daemon only some of the members."""
 
