--- a/packages/daemon/src/bramleyglade_daemon/fleet/member_store.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/member_store.py
@@ -34,7 +34,7 @@
 """Time from the first read, which shows only some members, to a reader's read of all.
 It joins groups of daemons that started without learning of each other."""
 
-_LONELY_SECONDS = 4.0
+_UNLINKED_SECONDS = 4.0
 """Time between two reads of all member records by a daemon without a link."""
 
 _READERS = 3
@@ -114,7 +114,7 @@
                     has_links = bool(self._peers.open_links())
                     if self._is_reader() or not has_links:
                         await self._read_all()
-                    pause = _STORE_PERIOD_SECONDS if has_links else _LONELY_SECONDS
+                    pause = _STORE_PERIOD_SECONDS if has_links else _UNLINKED_SECONDS
             except StoreError as error:
                 _LOG.info("MembersUnread", extra={"why": str(error)})
             await curio.sleep(pause * self._context.random.uniform(0.8, 1.2))
