--- a/packages/core/src/bramleyglade_core/decisions/stop_schedule.py
+++ b/packages/core/src/bramleyglade_core/decisions/stop_schedule.py
@@ -30,6 +30,14 @@
     ends_at: float
     """When requests that are not answered by then are given up."""
 
+    def with_acceptance_ended(self, now: float) -> StopSchedule:
+        """Return the schedule with nothing accepted from now on."""
+        return StopSchedule(
+            min(now, self.notice_ends_at),
+            min(now, self.acceptance_ends_at),
+            self.ends_at,
+        )
+
     def accepts(self, now: float, has_key: bool, typical_seconds: float) -> bool:
         """Return whether a request that has just been read can still be served.
 
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from bramleyglade_core.model.announcements import MemberRecord, TargetRun
@@ -151,6 +152,9 @@
     retries: float
     """How many it needs."""
 
+    def __post_init__(self) -> None:
+        _check_retries(self.retries)
+
 
 @dataclass(frozen=True, slots=True)
 class RetriesLent:
@@ -159,6 +163,9 @@
     service: str
     retries: float
 
+    def __post_init__(self) -> None:
+        _check_retries(self.retries)
+
 
 @dataclass(frozen=True, slots=True)
 class SightAsked:
@@ -232,3 +239,8 @@
 @dataclass(frozen=True, slots=True)
 class AttemptCancelled:
     """The front has cancelled an attempt."""
+
+
+def _check_retries(retries: float) -> None:
+    if not 0.0 <= retries < math.inf:
+        raise ValueError("retries must be a number that is not negative")
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -172,7 +172,14 @@
         _LOG.info("DaemonStopped", extra={"daemon": self.context.settings.name})
 
     async def _stop_accepting(self) -> None:
-        """Read no request from now on; those already read are still answered."""
+        """Read no request from now on; those already read are still answered.
+
+        What has arrived but was not read yet is refused.
+        """
+        context = self.context
+        if context.stop_schedule is not None:
+            now = context.clock()
+            context.stop_schedule = context.stop_schedule.with_acceptance_ended(now)
         if self._caller_listener is not None:
             await self._caller_listener.cancel()
         await self.front.stop_accepting()
--- a/packages/daemon/src/bramleyglade_daemon/front/pipe.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/pipe.py
@@ -100,16 +100,19 @@
         if self._closed.is_set() or self._is_stopped:
             return None
         limits = self._context.configuration.caller_limits
-        seconds = limits.idle_seconds
+        ends_at = self._context.clock() + limits.idle_seconds
+        has_begun = False
         while (request := self._parse()) is None:
-            async with curio.timeout_after(seconds):
+            async with curio.timeout_after(max(0.0, ends_at - self._context.clock())):
                 if not await self._wait_for_bytes():
                     return None
                 data = await self._sock.recv(RECEIVE_BYTES)
             if not data:
                 return None
             self._next_connection().feed(data)
-            seconds = limits.head_seconds
+            if not has_begun:
+                has_begun = True
+                ends_at = self._context.clock() + limits.head_seconds
         if request.connection.has_surplus:
             await self._start_reader()
         return request
--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -12,6 +12,7 @@
     keeper_key,
     member_key,
     read_batch,
+    read_ticket,
 )
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
 from bramleyglade_core.decisions.shared_view import SharedView
@@ -20,6 +21,7 @@
     StoreUnavailable,
     VersionConflict,
 )
+from bramleyglade_platform.platform_store import PlatformStore
 from bramleyglade_standins.platform_server import PlatformFaults
 
 from .documents import CONFIGURATION
@@ -186,3 +188,23 @@
         assert "ConfigurationUnreadable" in caplog.text
 
     run_platform(scenario)
+
+
+def test_zone_that_came_back_unseen_is_listed_after_another_daemon_saw_it_out(
+    run_platform, platform_settings
+):
+    """A daemon may have missed the change that another one has passed on to it."""
+
+    async def scenario(platform, store):
+        other = PlatformStore(store._client, platform_settings)
+        platform.put("config", "main", CONFIGURATION)
+        await store.list_changed(SHARED_PREFIX, 0)
+        platform.put("evacuations", "zone-a", {})
+        seen = await other.list_changed(SHARED_PREFIX, 0)
+        platform.remove("evacuations", "zone-a")
+        listing = await store.list_changed(SHARED_PREFIX, seen.revision)
+        tickets = [read_ticket(o) for o in listing.objects]
+        zones = {e.name: e.in_use for t in tickets for e in t.entities}
+        assert zones["zone-a"]
+
+    run_platform(scenario)
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -20,7 +20,9 @@
 
 from bramleyglade_adapters.http.server_connection import ServerConnection
 from bramleyglade_core.model.announcements import DaemonPhase
+from bramleyglade_core.model.entities import CallerLimits
 from bramleyglade_core.model.errors import BadRequest
+from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_daemon.front.pipe import MAX_AHEAD
 from bramleyglade_standins.local_fleet import KEY
 
@@ -271,3 +273,31 @@
     connection.feed(b"nonsense\r\n\r\n")
     with pytest.raises(BadRequest):
         connection.parse_request()
+
+
+def test_caller_that_sends_a_head_piece_by_piece_is_cut_off_in_time(run_fleet):
+    """Each piece must not extend the time for the whole head."""
+
+    async def scenario(fleet):
+        limits = CallerLimits(head_seconds=0.4, idle_seconds=30.0)
+        ticket = Ticket(2, "limits", (limits,))
+        await fleet.ticket_repository.apply(ticket)
+        context = fleet.daemons[0].context
+        await fleet.wait_until(
+            lambda: context.configuration.caller_limits.head_seconds == 0.4
+        )
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        front = fleet.daemons[0].front
+        await caller.send(b"GET /lookup/1 HTTP/1.1\r\n")
+        await fleet.wait_until(lambda: bool(front.connections))
+        for number in range(200):
+            if not front.connections:
+                return
+            try:
+                await caller.send(b"x-%d: 1\r\n" % number)
+            except OSError:
+                return
+            await curio.sleep(0.1)
+        raise AssertionError("the caller may send one head for ever")
+
+    run_fleet(scenario)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -212,3 +212,18 @@
         assert now + typical <= stop_seconds
         assert now < schedule.acceptance_ends_at
         assert schedule.accepts(now, False, typical)
+
+
+def test_request_read_after_the_last_point_of_acceptance_is_refused(run_fleet):
+    """Its bytes may have arrived when reading stops; it needs no key."""
+
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        shorten_stop(daemon, stop_seconds=5.0)
+        stop = await curio.spawn(daemon.stop)
+        await fleet.wait_until(lambda: not daemon.front.is_accepting)
+        schedule = daemon.context.stop_schedule
+        assert not schedule.accepts(daemon.context.clock(), False, 0.0)
+        await stop.join()
+
+    run_fleet(scenario)
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import curio
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bramleyglade_core.decisions.retry_budget import RetryBudget
+from bramleyglade_core.model.peer_messages import RetriesAsked, RetriesLent
 from bramleyglade_core.model.settings import FrontSettings
 from bramleyglade_core.model.verdict import Verdict
 
@@ -111,3 +114,10 @@
                 pass
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("message", [RetriesAsked, RetriesLent])
+@pytest.mark.parametrize("retries", [math.nan, math.inf, -1.0])
+def test_loan_of_no_sensible_number_is_not_decoded(message, retries):
+    with pytest.raises(ValueError):
+        message("catalogue", retries)
