--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -135,7 +135,8 @@
         self._caller_listener = await self._listen(
             settings.caller_address, self.front.serve
         )
-        _LOG.info("DaemonStarted", extra={"daemon": settings.name})
+        extra = {"daemon": settings.name, "address": str(settings.peer_address)}
+        _LOG.info("DaemonStarted", extra=extra)
 
     async def stop(self) -> None:
         """Stop gracefully: finish requests, return shares, hand over shards."""
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -282,7 +282,9 @@
                 continue
             predecessor = self._predecessor_by_shard.get(shard)
             if predecessor is not None and self._has_ended(predecessor):
+                before = keeper.phase
                 keeper.note_predecessor_ended(self._context.clock())
+                self._log_phase(keeper, before)
             if keeper.phase is KeeperPhase.COLLECTING:
                 self._shards_being_queried.add(shard)
                 await curio.spawn(self._query_all_holdings, shard, keeper, daemon=True)
@@ -378,7 +380,11 @@
         epoch = current.epoch + 1 if current is not None else 1
         assignment = KeeperAssignment(shard, self._context.daemon, epoch)
         await self._write(assignment, current)
-        _LOG.info("ShardClaimed", extra={"shard": shard, "epoch": epoch})
+        extra: dict[str, object] = {"shard": shard, "epoch": epoch}
+        if current is not None:
+            extra["predecessor"] = current.keeper.name
+            extra["has_predecessor_ended"] = self._has_ended(current.keeper)
+        _LOG.info("ShardClaimed", extra=extra)
 
     async def _write(
         self, assignment: KeeperAssignment, current: KeeperAssignment | None
@@ -420,7 +426,11 @@
 
     def _log_phase(self, keeper: ShardKeeper, before: KeeperPhase) -> None:
         if keeper.phase is not before:
-            extra = {"shard": keeper.assignment.shard, "phase": keeper.phase.value}
+            extra = {
+                "shard": keeper.assignment.shard,
+                "phase": keeper.phase.value,
+                "unresponsive": keeper.unresponsive_names(self._context.clock()),
+            }
             _LOG.info("KeeperAdvanced", extra=extra)
 
     def _is_keeper_live(
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.model.announcements import MemberRecord
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.member_records import MemberRecords
     from bramleyglade_daemon.fleet.member_store import MemberStore
@@ -78,7 +79,7 @@
             await self._peers.send_to_neighbours(RecordsTold((record,)))
             return
         if self._context.directory.suspect(name):
-            _LOG.warning("MemberSuspected", extra={"member": name, "by": source})
+            self._log_suspicion(record, source)
             await self._peers.send_to_neighbours(suspicion, exclude=source)
 
     async def probe_member(self, request: LookAsked) -> LookTold:
@@ -196,7 +197,7 @@
         if record is None or self._is_responsive(name):
             return
         if self._context.directory.suspect(name):
-            _LOG.warning("MemberSuspected", extra={"member": name})
+            self._log_suspicion(record, self._context.settings.name)
             await self._peers.send_to_neighbours(SuspicionTold(record.daemon))
 
     async def _request_probe(self, link: Link, name: str) -> bool:
@@ -209,6 +210,16 @@
             _LOG.info("LookUnanswered", extra=extra)
             return False
 
+    def _log_suspicion(self, record: MemberRecord, source: str) -> None:
+        silent_seconds = self._peers.unresponsive_seconds(record.daemon.name)
+        extra = {
+            "member": record.daemon.name,
+            "address": str(record.address),
+            "by": source,
+            "silent_seconds": round(silent_seconds, 2),
+        }
+        _LOG.warning("MemberSuspected", extra=extra)
+
     def _is_responsive(self, name: str) -> bool:
         return (
             self._peers.seconds_since_seen(name)
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -212,9 +212,14 @@
         wait = max(0.1, holding.backoff_until - now)
         is_unknown = not holding.is_keeper_available or holding.is_keeper_collecting
         if is_unknown or now >= holding.backoff_until:
+            keeper = (
+                "the new keeper still collects shares and can't grant more"
+                if holding.is_keeper_collecting
+                else "no keeper grants more"
+            )
             return RateExceeded(
                 ErrorCode.LIMIT_UNKNOWN,
-                f"no keeper grants more of the team's {allowance}",
+                f"{keeper} of the team's {allowance}",
                 retry_after=wait,
             )
         return RateExceeded(
