--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -9,6 +9,7 @@
 
 from bramleyglade_adapters.store.shared_objects import keeper_key
 from bramleyglade_adapters.structure import to_json
+from bramleyglade_core.decisions.holdings_survey import HoldingsSurvey
 from bramleyglade_core.decisions.rendezvous import shard_of, winner
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
 from bramleyglade_core.model.announcements import DaemonPhase, KeeperAssignment
@@ -305,23 +306,19 @@
         """
         before = keeper.phase
         directory = self._context.directory
+        survey = HoldingsSurvey()
         try:
-            members = directory.member_names()
-            report_by_name = await self._gather_holdings(members, shard)
-            if set(members) != set(directory.member_names()):
-                return  # Membership changed meanwhile; query all again.
+            while unasked := survey.unasked(directory.member_names()):
+                report_by_name = await self._gather_holdings(unasked, shard)
+                for name in unasked:
+                    survey.note(name, report_by_name.get(name))
             if self._keeper_by_shard.get(shard) is keeper:
                 unresponsive = [
                     directory.record_by_name[name].daemon
-                    for name in members
-                    if name not in report_by_name
+                    for name in survey.unresponsive(directory.member_names())
                 ]
-                shares = [
-                    share
-                    for report in report_by_name.values()
-                    for share in report.lines
-                ]
-                keeper.apply_reports(shares, unresponsive, self._context.clock())
+                now = self._context.clock()
+                keeper.apply_reports(survey.shares(), unresponsive, now)
                 self._log_phase(keeper, before)
         finally:
             self._shards_being_queried.discard(shard)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 import curio
@@ -19,11 +20,12 @@
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
 from bramleyglade_core.decisions.share_holding import ShareHolding
 from bramleyglade_core.decisions.team_allocator import TeamAllocator
-from bramleyglade_core.model.announcements import KeeperAssignment
+from bramleyglade_core.model.announcements import KeeperAssignment, MemberRecord
 from bramleyglade_core.model.entities import Team
 from bramleyglade_core.model.identifiers import DaemonId
 from bramleyglade_core.model.settings import LimitSettings
 from bramleyglade_core.model.shares import TOTAL_SHARE_UNITS, HeldShare
+from bramleyglade_standins.local_fleet import free_address
 
 LIMITS = LimitSettings(slice_term_seconds=4.0, renew_seconds=0.5)
 TEAM = Team("team", 20.0, 40)
@@ -499,3 +501,37 @@
         waiting = 0
         count += 1
     return count
+
+
+def test_new_keeper_asks_each_member_once_while_others_appear(run_fleet):
+    """A keeper that starts over with each new member never ends in a starting fleet."""
+
+    async def scenario(fleet):
+        own = fleet.daemons[0]
+        keepers, directory = own.keepers, own.context.directory
+        asked = Counter()
+        query = keepers._query_holdings
+
+        async def count_queries(name, shard):
+            asked[name] += 1
+            if len(directory.record_by_name) < 8:
+                add_absent_member(directory, len(directory.record_by_name))
+            return await query(name, shard)
+
+        keepers._query_holdings = count_queries
+        keeper = ShardKeeper(assignment_of(2), own.context.settings, 0.0)
+        keeper.note_predecessor_ended(own.context.clock())
+        keepers.apply_assignments = lambda: None
+        keepers._keeper_by_shard[0] = keeper
+        keepers._shards_being_queried.add(0)
+        await keepers._query_all_holdings(0, keeper)
+        assert keeper.phase is KeeperPhase.GRANTING
+        assert len(asked) == 8
+        assert set(asked.values()) == {1}
+
+    run_fleet(scenario)
+
+
+def add_absent_member(directory, number):
+    daemon = DaemonId(f"absent-{number}", 1)
+    directory.merge(MemberRecord(daemon, 1, free_address(), "zone-0"))
