--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -95,6 +95,7 @@
         self.guard.on_changed = self.records.publish
         self.guard.keep_record = self.member_store.keep_record
         self.records.on_history = self.guard.restore
+        self.records.on_predecessor = self.member_store.replace_predecessor
         self.guard.on_view_changed = self.peers.send_to_linked_peers
         self.shared.on_lease_extended = self.limiter.extend
         self.keepers.on_recalled = self.limiter.recall
--- a/packages/daemon/src/bramleyglade_daemon/fleet/member_records.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/member_records.py
@@ -8,6 +8,7 @@
 import curio
 
 from bramleyglade_core.decisions.record_digests import digest_of
+from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.errors import FleetError
 from bramleyglade_core.model.peer_messages import (
     LeavingTold,
@@ -63,6 +64,8 @@
         """Set when a merge has changed who is a member."""
         self.on_history: Callable[[Iterable[TargetRun]], Awaitable[None]] | None = None
         """Called with runs of this VM's targets that earlier daemons knew."""
+        self.on_predecessor: Callable[[MemberRecord], Awaitable[None]] | None = None
+        """Called with the record of a daemon that listened at this one's address."""
 
     async def publish(self) -> None:
         """Renew this daemon's record and send it to neighbours and the store."""
@@ -89,6 +92,8 @@
             self._unrelayed[digest_of(record)] = source
             if record.daemon.name == self._context.settings.name:
                 await self._refute(record)
+            elif self._is_predecessor(record) and self.on_predecessor is not None:
+                await self.on_predecessor(record)
         if self._unrelayed:
             await self._has_unrelayed.set()
         if directory.members_version != members_version:
@@ -158,6 +163,11 @@
         elif self.on_history is not None:
             await self.on_history(told.runs)
 
+    def _is_predecessor(self, record: MemberRecord) -> bool:
+        """Return whether a record is of a daemon whose address this one now has."""
+        is_at_own_address = record.address == self._context.settings.peer_address
+        return is_at_own_address and record.phase is not DaemonPhase.GONE
+
     def _is_earlier_self(self, record: MemberRecord) -> bool:
         own = self._context.daemon
         return record.daemon.name == own.name and record.daemon < own
--- a/packages/daemon/src/bramleyglade_daemon/fleet/member_store.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/member_store.py
@@ -137,12 +137,8 @@
             if not stored_records or stored_records[0].daemon != record.daemon:
                 return
             # The stored record may know of leaving runs that this daemon does not.
-            gone = replace(
-                stored_records[0],
-                phase=DaemonPhase.GONE,
-                targets=(),
-                sequence=max(record.sequence, stored_records[0].sequence) + 1,
-            )
+            newest = max(record.sequence, stored_records[0].sequence)
+            gone = _gone_record(replace(stored_records[0], sequence=newest))
             key = member_key(name)
             await self._context.store.update(key, to_json(gone), stored.revision)
         except StoreError as error:
@@ -151,6 +147,16 @@
         _LOG.warning("MemberGone", extra={"member": name})
         await self._records.merge((gone,), source="")
 
+    async def replace_predecessor(self, record: MemberRecord) -> None:
+        """Record a daemon as gone that listened at this daemon's address before.
+
+        This needs no wait: while one process listens at an address, no other does.
+        """
+        extra = {"member": record.daemon.name, "address": str(record.address)}
+        _LOG.info("PredecessorReplaced", extra=extra)
+        await self._records.merge((_gone_record(record),), source="")
+        await curio.spawn(self.mark_gone, record, daemon=True)
+
     def _is_reader(self) -> bool:
         records = self._context.directory.record_by_name
         serving = self._context.directory.serving_names()
@@ -225,6 +231,13 @@
             await self._record_stored.wait()
 
 
+def _gone_record(record: MemberRecord) -> MemberRecord:
+    """Return the record that tells of a member's end; it is newer than its last one."""
+    return replace(
+        record, phase=DaemonPhase.GONE, targets=(), sequence=record.sequence + 1
+    )
+
+
 async def read_earlier_record(store: ObjectStore, name: str) -> MemberRecord | None:
     """Read the record that an earlier process of a daemon has left.
 
--- a/tests/test_member_records.py
+++ b/tests/test_member_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import curio
@@ -12,6 +13,8 @@
 from bramleyglade_core.decisions.record_digests import BUCKETS, digest_of
 from bramleyglade_core.model.announcements import DaemonPhase, MemberRecord
 from bramleyglade_core.model.identifiers import Address, DaemonId
+from bramleyglade_daemon.fleet import membership
+from bramleyglade_daemon.fleet.member_store import read_earlier_record
 from bramleyglade_standins.memory_store import StoreFaults
 
 
@@ -206,3 +209,22 @@
     for name in ("read", "create", "update", "list_changed", "list_some"):
         setattr(store, name, recorded(name, getattr(store, name)))
     return calls
+
+
+def test_daemon_at_the_address_of_another_records_it_as_gone(run_fleet, monkeypatch):
+    """A new keeper otherwise waits out the lease of a process that has ended."""
+    monkeypatch.setattr(membership, "_GONE_AFTER_SECONDS", math.inf)
+
+    async def scenario(fleet):
+        replaced = fleet.daemons[1].context.daemon
+        await fleet.kill(1)
+        fleet.settings[1] = replace(fleet.settings[1], name="vm-9")
+        await fleet.start_daemon(1)
+        directory = fleet.daemons[0].context.directory
+        await fleet.wait_until(lambda: directory.record_by_name.get("vm-9"))
+        await fleet.wait_until(lambda: fleet.daemons[0].keepers._has_ended(replaced))
+        stored = await read_earlier_record(fleet.store, replaced.name)
+        assert stored.phase is DaemonPhase.GONE
+        assert directory.is_live("vm-9")
+
+    run_fleet(scenario, daemons=3)
