--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -37,6 +37,9 @@
 _PROBE_TIMEOUT_SECONDS = 0.8
 """Timeout of an indirect probe; the peer's own dial may take half a second of it."""
 
+_PROBE_PAUSE_SECONDS = 1.0
+"""Least time between two probes of a member that does not answer calls."""
+
 _FIRST_PERIODS = 2
 """Heartbeats in one period while a daemon that has just started awaits evidence."""
 
@@ -65,6 +68,8 @@
         self._store = store
         self._chosen_version = -1
         """Version of the directory's members that the neighbours were chosen from."""
+        self._probed: set[str] = set()
+        """Members that are being or were just probed since a call failed."""
 
     async def handle_suspicion(self, suspicion: SuspicionTold, source: str) -> None:
         """Suspect a daemon that a peer suspects, unless it has answered recently."""
@@ -93,6 +98,16 @@
                 is_live = False
         return LookTold(request.name, is_live)
 
+    async def probe_unanswered(self, name: str) -> None:
+        """Start an indirect probe of a member that has not answered a call.
+
+        Requests find a failed member sooner than its neighbours' heartbeats do, above
+        all after a start, when no daemon knows when the members were last seen.
+        """
+        if name not in self._probed and self._context.directory.is_live(name):
+            self._probed.add(name)
+            await curio.spawn(self._probe_once, name, daemon=True)
+
     async def send_heartbeats(self, link: Link) -> None:
         """Send heartbeats on one link until it breaks."""
         period = self._context.settings.peers.heartbeat_seconds
@@ -160,7 +175,7 @@
             if not self._context.directory.is_live(name):
                 continue
             if self._peers.unresponsive_seconds(name) >= bound:
-                await curio.spawn(self._probe_indirectly, name, daemon=True)
+                await curio.spawn(self._probe_indirectly, name, False, daemon=True)
 
     async def _mark_absent_gone(self) -> None:
         """Mark long-unresponsive members as gone in the store.
@@ -182,7 +197,21 @@
             if is_responsible and self._context.lease.is_valid:
                 await self._store.mark_gone(directory.record_by_name[name])
 
-    async def _probe_indirectly(self, name: str) -> None:
+    async def _probe_once(self, name: str) -> None:
+        try:
+            await self._probe_indirectly(name, needs_answer=True)
+            await curio.sleep(_PROBE_PAUSE_SECONDS)
+        finally:
+            self._probed.discard(name)
+
+    async def _probe_indirectly(self, name: str, needs_answer: bool) -> None:
+        """Suspect a member unless a peer reaches it.
+
+        Args:
+            name: The member's name.
+            needs_answer: Whether a peer has to confirm that it doesn't reach the
+                member; if none answers, this daemon may be the one that is cut off.
+        """
         count = self._context.settings.peers.indirect_checks
         links = [
             link
@@ -191,7 +220,8 @@
         ]
         chosen = self._context.random.sample(links, min(count, len(links)))
         tasks = [await curio.spawn(self._request_probe, link, name) for link in chosen]
-        if any([await task.join() for task in tasks]):
+        answers = [await task.join() for task in tasks]
+        if any(answers) or (needs_answer and False not in answers):
             return
         record = self._context.directory.record_by_name.get(name)
         if record is None or self._is_responsive(name):
@@ -200,15 +230,15 @@
             self._log_suspicion(record, self._context.settings.name)
             await self._peers.send_to_neighbours(SuspicionTold(record.daemon))
 
-    async def _request_probe(self, link: Link, name: str) -> bool:
-        """Ask a peer whether a daemon answers it; False also without a reply."""
+    async def _request_probe(self, link: Link, name: str) -> bool | None:
+        """Ask a peer whether a daemon answers it; None without a reply."""
         try:
             reply = await link.call(LookAsked(name), _PROBE_TIMEOUT_SECONDS)
             return expect(reply, LookTold).is_live
         except FleetError as error:
             extra = {"member": name, "peer": link.peer_name, "why": str(error)}
             _LOG.info("LookUnanswered", extra=extra)
-            return False
+            return None
 
     def _log_suspicion(self, record: MemberRecord, source: str) -> None:
         silent_seconds = self._peers.unresponsive_seconds(record.daemon.name)
