--- a/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from bramleyglade_adapters.fair_turns import FairTurns
 from bramleyglade_adapters.http.wire import (
     MAX_HEAD_BYTES,
     RECEIVE_BYTES,
@@ -50,6 +51,9 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._turns = FairTurns()
+        self._following: object = None
+        """Event, or error, that was parsed behind the last piece of a body."""
         self.is_first_exchange = True
         """Whether no exchange on this connection has been finished yet."""
 
@@ -99,7 +103,10 @@
             OSError: If the connection breaks.
         """
         for _ in range(_MAX_INFORMATIONAL_ANSWERS + 1):
-            part = _to_answer_part(await self._next_event())
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return AnswerContinued(await self._join_body(event))
+            part = _to_answer_part(event)
             if part is not None:
                 return part
         raise AnswerBroken(
@@ -133,24 +140,42 @@
         await self._sock.close()
 
     async def _next_event(self) -> object:
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                code = ErrorCode.ANSWER_MALFORMED
-                if self._protocol.trailing_data[1]:
-                    code = ErrorCode.ANSWER_TRUNCATED
-                raise AnswerBroken(code, str(error), Verdict.MAY_HAVE_RUN) from None
-            if event is not h11.NEED_DATA:
-                return event
-            self._protocol.receive_data(await self._sock.recv(RECEIVE_BYTES))
+        event, self._following = self._following, None
+        while event is None or event is h11.NEED_DATA:
+            await self._turns.step()
+            event = self._parse_event()
+            if event is h11.NEED_DATA:
+                self._protocol.receive_data(await self._sock.recv(RECEIVE_BYTES))
+        if isinstance(event, AnswerBroken):
+            raise event
+        return event
+
+    async def _join_body(self, first: h11.Data) -> bytes:
+        """Join the pieces of a body that have arrived, as each may be a single byte."""
+        joined = bytearray(first.data)
+        while len(joined) < RECEIVE_BYTES:
+            await self._turns.step()
+            event = self._parse_event()
+            if not isinstance(event, h11.Data):
+                self._following = event
+                break
+            joined += event.data
+        return bytes(joined)
+
+    def _parse_event(self) -> object:
+        """Return the next event, or the error that the received bytes lead to."""
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            code = ErrorCode.ANSWER_MALFORMED
+            if self._protocol.trailing_data[1]:
+                code = ErrorCode.ANSWER_TRUNCATED
+            return AnswerBroken(code, str(error), Verdict.MAY_HAVE_RUN)
 
 
 def _to_answer_part(event: object) -> AnswerPart | None:
     if isinstance(event, h11.Response):
         return AnswerStarted(event.status_code, headers_from_wire(event.headers))
-    if isinstance(event, h11.Data):
-        return AnswerContinued(bytes(event.data))
     if isinstance(event, h11.EndOfMessage):
         return AnswerEnded(headers_from_wire(event.headers))
     if isinstance(event, h11.InformationalResponse):
--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from bramleyglade_adapters.fair_turns import FairTurns
 from bramleyglade_adapters.http.wire import (
     MAX_HEAD_BYTES,
     RECEIVE_BYTES,
@@ -73,6 +74,11 @@
         )
         self._buffer = bytearray()
         self._is_broken = False
+        self._turns = FairTurns()
+        self._body = bytearray()
+        """Pieces of the body that were parsed and not returned yet."""
+        self._following: object = None
+        """Event, or error, that was parsed behind them."""
 
     @property
     def expects_continue(self) -> bool:
@@ -175,12 +181,26 @@
         Raises:
             BadRequest: If the body is malformed or incomplete.
         """
-        if self._protocol.their_state is not h11.SEND_BODY:
-            return None
-        event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
+        while self._following is None and len(self._body) < RECEIVE_BYTES:
+            if self._protocol.their_state is not h11.SEND_BODY:
+                break
+            await self._turns.step()
+            event = self._try_parse_event()
+            if isinstance(event, h11.Data):
+                self._body += event.data
+            elif event is not h11.NEED_DATA:
+                self._following = event
+            elif self._body:
+                break
+            else:
+                self._protocol.receive_data(await self.sock.recv(RECEIVE_BYTES))
+        if self._body:
+            data, self._body = bytes(self._body), bytearray()
+            return data
+        event, self._following = self._following, None
+        if isinstance(event, BadRequest):
+            raise event
+        if event is None or isinstance(event, h11.EndOfMessage):
             return None
         raise BadRequest(ErrorCode.BAD_REQUEST, "the request's body is incomplete")
 
@@ -231,15 +251,23 @@
 
     async def _next_event(self) -> object:
         while (event := self._parse_event()) is h11.NEED_DATA:
+            await self._turns.step()
             self._protocol.receive_data(await self.sock.recv(RECEIVE_BYTES))
         return event
 
     def _parse_event(self) -> object:
+        event = self._try_parse_event()
+        if isinstance(event, BadRequest):
+            raise event
+        return event
+
+    def _try_parse_event(self) -> object:
+        """Return the next event, or the error that the received bytes lead to."""
         try:
             return self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             self._is_broken = True
-            raise BadRequest(ErrorCode.BAD_REQUEST, str(error)) from None
+            return BadRequest(ErrorCode.BAD_REQUEST, str(error))
 
 
 def _has_body(headers: Iterable[Header]) -> bool:
--- a/packages/adapters/src/bramleyglade_adapters/link/link.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from bramleyglade_adapters.fair_turns import FairTurns
 from bramleyglade_adapters.http.wire import RECEIVE_BYTES
 from bramleyglade_adapters.link.codec import (
     LENGTH_BYTES,
@@ -278,7 +279,9 @@
             await self.close()
 
     async def _read(self, buffer: bytearray) -> None:
+        turns = FairTurns()
         while not self._is_closed:
+            await turns.step()
             envelope = await self._receive_one(buffer)
             receivers = self._accepted_by_stream
             if envelope.is_answer:
--- a/packages/daemon/src/bramleyglade_daemon/streams.py
+++ b/packages/daemon/src/bramleyglade_daemon/streams.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from bramleyglade_adapters.fair_turns import FairTurns
 from bramleyglade_core.model.errors import AttemptError, ErrorCode, FleetError
 from bramleyglade_core.model.exchange import (
     AnswerContinued,
@@ -154,6 +155,7 @@
         self._sender = sender
         self._window = window
         self._events = curio.Queue()
+        self._turns = FairTurns()
         self._uncredited_bytes = 0
         self.body_credit = SendCredit(0)
         self._has_ended = False
@@ -182,6 +184,7 @@
 
     async def receive(self) -> AnswerEvent:
         """Wait for the next part of the answer."""
+        await self._turns.step()
         event = await self._events.get()
         if isinstance(event, AnswerContinued):
             await self._give_credit(len(event.data))
@@ -240,6 +243,7 @@
         self._sender = sender
         self._window = window
         self._body = curio.Queue()
+        self._turns = FairTurns()
         self._uncredited_bytes = 0
         self._answer_credit = SendCredit(window)
         self.is_abandoned = False
@@ -258,6 +262,7 @@
         Raises:
             AttemptError: If the front gave up.
         """
+        await self._turns.step()
         message = await self._body.get()
         if isinstance(message, BodySent):
             await self._give_credit(len(message.data))
