--- a/packages/core/src/bramleyglade_core/decisions/attempt_table.py
+++ b/packages/core/src/bramleyglade_core/decisions/attempt_table.py
@@ -113,9 +113,12 @@
         Args:
             attempt: Identifier of a started attempt.
             answer: The complete answer, or None if it is too large to keep.
-            size: Size of the answer's body, in bytes.
+            size: Size of the answer, in bytes.
         """
-        if self._answer_bytes + size > self._settings.remembered_bytes:
+        if (
+            answer is None
+            or self._answer_bytes + size > self._settings.remembered_bytes
+        ):
             answer, size = None, 0
         self._set(attempt, AttemptPhase.ANSWERED, answer, size)
 
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -164,9 +164,9 @@
     remembered_attempts: int = 50_000
     """Largest number of outcomes kept; attempts beyond it are refused."""
     remembered_answer_bytes: int = 65_536
-    """Largest answer body that is kept for a front that lost its link."""
+    """Largest answer that is kept for a front that lost its link."""
     remembered_bytes: int = 8_388_608
-    """Largest total size of the kept answer bodies."""
+    """Largest total size of the kept answers."""
     announcement_seconds: float = 15.0
     """Time after which a target that has not renewed its announcement is removed."""
 
--- a/tests/test_guard_decisions.py
+++ b/tests/test_guard_decisions.py
@@ -23,7 +23,12 @@
 from bramleyglade_core.decisions.ramp import ConcurrencyRamp
 from bramleyglade_core.decisions.retry_budget import RetryBudget, may_retry
 from bramleyglade_core.model.ejections import EjectionAsked
-from bramleyglade_core.model.exchange import AnswerEnded
+from bramleyglade_core.model.exchange import (
+    AnswerContinued,
+    AnswerEnded,
+    AnswerStarted,
+    Header,
+)
 from bramleyglade_core.model.identifiers import AttemptId, DaemonId, TargetId
 from bramleyglade_core.model.settings import (
     FrontSettings,
@@ -31,6 +36,7 @@
     HealthSettings,
 )
 from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_daemon.guard.exchange import AnswerRecorder
 from bramleyglade_daemon.guard.target_health import TargetHealth
 
 FRONT = DaemonId("front", 1)
@@ -90,6 +96,34 @@
     assert len(attempts) == 0
 
 
+def test_answer_that_is_not_kept_takes_no_space_of_others(clock):
+    attempts = make_table(clock, remembered_bytes=100)
+    for number in range(2):
+        attempts.accept(attempt(number))
+        attempts.start(attempt(number))
+    attempts.keep_answer(attempt(0), None, 90)
+    attempts.keep_answer(attempt(1), (AnswerEnded(),), 40)
+    assert attempts.find(attempt(1)).answer is not None
+
+
+def test_kept_answer_in_pieces_of_one_byte_takes_one_piece():
+    """A piece takes far more memory than its byte, and only bytes are limited."""
+    recorder = AnswerRecorder(GuardSettings(remembered_answer_bytes=1000))
+    recorder.note(AnswerStarted(200, ()))
+    for _ in range(900):
+        recorder.note(AnswerContinued(b"a"))
+    recorder.note(AnswerEnded())
+    body = AnswerContinued(b"a" * 900)
+    assert recorder.answer == (AnswerStarted(200, ()), body, AnswerEnded())
+
+
+def test_answer_whose_headers_are_too_large_is_not_kept():
+    recorder = AnswerRecorder(GuardSettings(remembered_answer_bytes=1000))
+    recorder.note(AnswerStarted(200, (Header("x-filler", "a" * 1000),)))
+    recorder.note(AnswerEnded())
+    assert recorder.answer is None
+
+
 _pushes = st.lists(st.sampled_from("aaaabc"), max_size=30)
 
 
