--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -148,6 +148,7 @@
         context.stop_schedule = schedule
         context.phase = DaemonPhase.LEAVING
         await self.records.publish()
+        self._tasks.append(await curio.spawn(self._hand_over_early, daemon=True))
         async with curio.ignore_after(context.settings.stop_seconds):
             # Callers may still connect until they notice that this daemon leaves.
             await curio.sleep(context.settings.notice_seconds)
@@ -174,6 +175,15 @@
         await self.peers.close()
         _LOG.info("DaemonStopped", extra={"daemon": self.context.settings.name})
 
+    async def _hand_over_early(self) -> None:
+        """Hand the shards over once the store is known to answer.
+
+        What a leaving daemon still keeps when it fails is without a keeper for seconds.
+        While the store is away no assignment can change, so it keeps them to the end.
+        """
+        if await self.member_store.keep_record():
+            await self.keepers.hand_over_all()
+
     async def _stop_accepting(self) -> None:
         """Read no request from now on; those already read are still answered.
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -64,7 +64,8 @@
         self._handover_by_shard: dict[int, BookHandedOver] = {}
         self._claimed_at_by_shard: dict[int, float] = {}
         self._unknown_since_by_shard: dict[int, float] = {}
-        self._is_stopped = False
+        self._epoch_by_handed_over_shard: dict[int, int] = {}
+        """Epochs in which this daemon has stopped granting, as it leaves."""
         self._predecessor_by_shard: dict[int, DaemonId] = {}
         """Former keepers of shards that this daemon has claimed."""
         self._shards_being_queried: set[int] = set()
@@ -193,10 +194,17 @@
             self._apply_handover(keeper, self._context.clock())
 
     async def hand_over_all(self) -> None:
-        """Hand each shard over to a successor before this daemon leaves."""
-        self._is_stopped = True
+        """Hand each shard over to a successor, as this daemon leaves."""
+        has_handed_over = False
         for shard, keeper in list(self._keeper_by_shard.items()):
-            await self._hand_over(shard, keeper)
+            if not self._has_handed_over(keeper):
+                self._epoch_by_handed_over_shard[shard] = keeper.assignment.epoch
+                await self._hand_over(shard, keeper)
+                has_handed_over = True
+        if has_handed_over:
+            # Peers learn of the assignments at once instead of at the next poll.
+            await self._shared.read_now()
+            self.apply_assignments()
 
     def _step_down(self, keeper: ShardKeeper, assignment: KeeperAssignment) -> None:
         """Stop keeping a shard that another daemon has claimed.
@@ -227,11 +235,19 @@
 
     def _find_local_keeper(self, key: str) -> ShardKeeper | None:
         """Return this daemon's keeper for a key, if it may act as keeper now."""
-        if self._is_stopped or not self._context.lease.is_valid:
+        if not self._context.lease.is_valid:
             return None
         self.apply_assignments()
         shards = self._context.settings.limits.shards
-        return self._keeper_by_shard.get(shard_of(key, shards))
+        keeper = self._keeper_by_shard.get(shard_of(key, shards))
+        if keeper is None or self._has_handed_over(keeper):
+            return None
+        return keeper
+
+    def _has_handed_over(self, keeper: ShardKeeper) -> bool:
+        assignment = keeper.assignment
+        epoch = self._epoch_by_handed_over_shard.get(assignment.shard)
+        return epoch == assignment.epoch
 
     def _keeper_name_for_key(self, key: str) -> str | None:
         shards = self._context.settings.limits.shards
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -19,10 +19,13 @@
     RequestNotSent,
     SimpleClient,
 )
+from bramleyglade_core.decisions.shard_keeper import KeeperPhase
 from bramleyglade_core.decisions.stop_schedule import plan_stop
+from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.exchange import Header
 from bramleyglade_core.model.identifiers import Address
 from bramleyglade_standins.local_fleet import KEY, kill_daemon, make_settings
+from bramleyglade_standins.memory_store import StoreFaults
 
 STOP_SECONDS = 1.5
 NOTICE_SECONDS = 0.3
@@ -227,3 +230,48 @@
         await stop.join()
 
     run_fleet(scenario)
+
+
+def test_leaving_keeper_hands_over_while_its_requests_run(run_fleet):
+    """A keeper that fails late in its stop leaves its teams without grants."""
+
+    async def scenario(fleet):
+        shard = fleet.daemons[0].keepers.shard_of_team("studio")
+        view = fleet.daemons[0].context.view
+        names = [settings.name for settings in fleet.settings]
+        leaving = names.index(view.assignment_by_shard[shard].keeper.name)
+        for target in fleet.targets:
+            target.behaviour = replace(target.behaviour, work_seconds=3.0)
+        request = await curio.spawn(fleet.call, leaving)
+        await fleet.wait_until(lambda: fleet.daemons[leaving].front.busy)
+        stop = await curio.spawn(fleet.daemons[leaving].stop)
+        remaining = [d for i, d in enumerate(fleet.daemons) if i != leaving]
+        await fleet.wait_until(
+            lambda: any(
+                shard in daemon.keepers._keeper_by_shard
+                and daemon.keepers._keeper_by_shard[shard].phase is KeeperPhase.GRANTING
+                for daemon in remaining
+            )
+        )
+        assert not request.terminated
+        await request.join()
+        await stop.join()
+
+    run_fleet(scenario, daemons=3, zones=1)
+
+
+def test_leaving_keeper_keeps_its_shards_while_the_store_is_away(run_fleet):
+    """No successor can be named then, so handing over would only end the grants."""
+
+    async def scenario(fleet):
+        shard = fleet.daemons[0].keepers.shard_of_team("studio")
+        view = fleet.daemons[0].context.view
+        name = view.assignment_by_shard[shard].keeper.name
+        leaving = next(d for d in fleet.daemons if d.context.settings.name == name)
+        fleet.store.faults = StoreFaults(is_away=True)
+        leaving.context.phase = DaemonPhase.LEAVING
+        await leaving.records.publish()
+        await leaving._hand_over_early()
+        assert leaving.keepers._find_local_keeper("team/studio") is not None
+
+    run_fleet(scenario, daemons=3, zones=1)
