--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -169,7 +169,8 @@
             )
 
     async def _run(self, request: AdmittedRequest, hop: Hop, log: RequestLog) -> None:
-        feeder = BodyFeeder(self._connection, self._pipe)
+        limits = self._context.configuration.caller_limits
+        feeder = BodyFeeder(self._connection, self._pipe, limits)
         hop.set_attribute("route", request.route.name)
         attempts = self._front.dispatcher.start(request, feeder, hop, log)
         self._attempts = attempts
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -435,7 +435,7 @@
         except (FleetError, OSError) as error:
             if self._feeder.error is not None:
                 await stream.cancel()
-                await stream.deliver(_upload_failed(str(error)))
+                await stream.deliver(_upload_failed(error))
 
     async def _end_upload(self) -> None:
         upload, self._upload = self._upload, None
@@ -457,5 +457,8 @@
             _LOG.info("TargetAvoided", extra=extra)
 
 
-def _upload_failed(detail: str) -> AttemptFailed:
-    return AttemptFailed(ErrorCode.ATTEMPT_CANCELLED, detail, Verdict.MAY_HAVE_RUN)
+def _upload_failed(error: FleetError | OSError) -> AttemptFailed:
+    code = ErrorCode.ATTEMPT_CANCELLED
+    if isinstance(error, FleetError) and error.code is ErrorCode.BODY_TOO_LARGE:
+        code = error.code
+    return AttemptFailed(code, str(error), Verdict.MAY_HAVE_RUN)
--- a/packages/daemon/src/bramleyglade_daemon/front/refusal.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/refusal.py
@@ -78,6 +78,8 @@
     # Callers interpret 503 as a guarantee that the request has not run.
     if error.code is ErrorCode.DEADLINE_EXCEEDED:
         return 504
+    if error.code is ErrorCode.BODY_TOO_LARGE:
+        return 413
     return 503 if error.verdict is Verdict.NOT_RUN else 502
 
 
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -86,9 +86,13 @@
 class BodyFeeder:
     """Feeds the caller's body to attempts; a small one can be sent again."""
 
-    def __init__(self, connection: ServerConnection, pipe: Pipe) -> None:
+    def __init__(
+        self, connection: ServerConnection, pipe: Pipe, limits: CallerLimits
+    ) -> None:
         self._connection = connection
         self._pipe = pipe
+        self._limits = limits
+        self._received_bytes = 0
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._is_complete = False
@@ -156,14 +160,26 @@
         try:
             if self._connection.expects_continue:
                 await self._connection.send_continue()
-            return await self._connection.receive_body()
+            piece = await self._connection.receive_body()
+            self._count(piece)
         except (BadRequest, OSError) as error:
             self.error = error
+            self.is_consumed = True
             raise
         except curio.CancelledError:
             # A piece may have been read from the socket and lost.
             self.is_consumed = True
             raise
+        return piece
+
+    def _count(self, piece: bytes | None) -> None:
+        """Refuse a body that grows too large; one in chunks states no length."""
+        self._received_bytes += len(piece or b"")
+        if self._received_bytes > self._limits.max_body_bytes:
+            raise BadRequest(
+                ErrorCode.BODY_TOO_LARGE,
+                f"the body has more than {self._limits.max_body_bytes} bytes",
+            )
 
     def _buffer(self, data: bytes) -> None:
         self._buffered_bytes += len(data)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -11,13 +11,14 @@
 
 from bramleyglade_adapters.http.simple_client import AnswerLost, SimpleClient
 from bramleyglade_core.decisions.idle_tracker import IdleTracker
+from bramleyglade_core.model.entities import CallerLimits
 from bramleyglade_core.model.errors import ErrorCode
 from bramleyglade_core.model.exchange import AttemptOffered, Header
 from bramleyglade_core.model.identifiers import AttemptId, DaemonId
 from bramleyglade_core.model.settings import HealthSettings
 from bramleyglade_core.model.verdict import Verdict
 from bramleyglade_daemon.guard.guard import LocalGuardPort
-from bramleyglade_standins.local_fleet import KEY, free_address
+from bramleyglade_standins.local_fleet import KEY, first_ticket, free_address
 
 
 def test_request_is_answered_through_any_daemon(run_fleet):
@@ -365,3 +366,24 @@
         assert answer.header("x-fleet-verdict") == "may-have-run"
 
     run_fleet(scenario, daemons=1, zones=1)
+
+
+def test_chunked_body_over_the_limit_is_refused_before_it_ends(run_fleet):
+    """Such a body states no length, and may have no end."""
+    ticket = first_ticket(zones=1)
+    limits = CallerLimits(max_body_bytes=1000)
+    ticket = replace(ticket, entities=(*ticket.entities, limits))
+
+    async def scenario(fleet):
+        address = fleet.settings[0].caller_address
+        sock = await curio.open_connection(address.host, address.port)
+        async with sock:
+            await sock.sendall(
+                b"POST /open/1 HTTP/1.1\r\nhost: shop\r\n"
+                b"transfer-encoding: chunked\r\n\r\n"
+            )
+            for _ in range(3):
+                await sock.sendall(b"200\r\n" + bytes(512) + b"\r\n")
+            assert (await sock.recv(100)).startswith(b"HTTP/1.1 413 ")
+
+    run_fleet(scenario, daemons=1, zones=1, ticket=ticket)
