--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -38,8 +38,8 @@
 
 _PERIOD_SECONDS = 0.3
 _SETTLE_SECONDS = 0.6
-"""Time after the first read of the members in which no shard is claimed, so that
-daemons that start together can discover each other."""
+"""Time after the first read of the members in which no shard is claimed that never had
+a keeper, so that daemons of a new fleet can discover each other."""
 
 _UNKNOWN_KEEPER_SECONDS = 5.0
 """Time after which a keeper that is not a known member counts as gone."""
@@ -260,10 +260,7 @@
     async def _claim_orphans(self) -> None:
         """Claim the orphaned shards that fall to this daemon."""
         now = self._context.clock()
-        discovered_at = self._context.discovered_at
-        if discovered_at is None or now < discovered_at + _SETTLE_SECONDS:
-            return
-        if self._context.lease.is_extended:
+        if self._context.discovered_at is None or self._context.lease.is_extended:
             return
         has_claimed = False
         for shard in self._orphans(now)[:_MAX_CLAIMS_PER_PERIOD]:
@@ -277,9 +274,15 @@
     def _orphans(self, now: float) -> list[int]:
         """Return the shards without a live keeper that fall to this daemon."""
         serving = self._context.directory.serving_names()
+        discovered_at = self._context.discovered_at
+        is_settled = discovered_at is not None and (
+            now >= discovered_at + _SETTLE_SECONDS
+        )
         orphans = []
         for shard in range(self._context.settings.limits.shards):
             assignment = self._context.view.assignment_by_shard.get(shard)
+            if assignment is None and not is_settled:
+                continue
             if assignment is not None and self._is_keeper_live(shard, assignment, now):
                 continue
             claimed_at = self._claimed_at_by_shard.get(shard, float("-inf"))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from dataclasses import replace
@@ -25,6 +26,7 @@
 from bramleyglade_core.model.identifiers import DaemonId
 from bramleyglade_core.model.settings import LimitSettings
 from bramleyglade_core.model.shares import TOTAL_SHARE_UNITS, HeldShare
+from bramleyglade_daemon.fleet import keepers
 from bramleyglade_standins.local_fleet import free_address
 
 LIMITS = LimitSettings(slice_term_seconds=4.0, renew_seconds=0.5)
@@ -508,9 +510,9 @@
 
     async def scenario(fleet):
         own = fleet.daemons[0]
-        keepers, directory = own.keepers, own.context.directory
+        own_keepers, directory = own.keepers, own.context.directory
         asked = Counter()
-        query = keepers._query_holdings
+        query = own_keepers._query_holdings
 
         async def count_queries(name, shard):
             asked[name] += 1
@@ -518,13 +520,13 @@
                 add_absent_member(directory, len(directory.record_by_name))
             return await query(name, shard)
 
-        keepers._query_holdings = count_queries
+        own_keepers._query_holdings = count_queries
         keeper = ShardKeeper(assignment_of(2), own.context.settings, 0.0)
         keeper.note_predecessor_ended(own.context.clock())
-        keepers.apply_assignments = lambda: None
-        keepers._keeper_by_shard[0] = keeper
-        keepers._shards_being_queried.add(0)
-        await keepers._query_all_holdings(0, keeper)
+        own_keepers.apply_assignments = lambda: None
+        own_keepers._keeper_by_shard[0] = keeper
+        own_keepers._shards_being_queried.add(0)
+        await own_keepers._query_all_holdings(0, keeper)
         assert keeper.phase is KeeperPhase.GRANTING
         assert len(asked) == 8
         assert set(asked.values()) == {1}
@@ -535,3 +537,28 @@
 def add_absent_member(directory, number):
     daemon = DaemonId(f"absent-{number}", 1)
     directory.merge(MemberRecord(daemon, 1, free_address(), "zone-0"))
+
+
+def test_shards_of_restarted_keepers_are_claimed_without_a_pause(
+    run_fleet, monkeypatch
+):
+    """A fleet that restarts knows its members from the store."""
+
+    async def scenario(fleet):
+        monkeypatch.setattr(keepers, "_SETTLE_SECONDS", math.inf)
+        for index in range(len(fleet.daemons)):
+            await fleet.kill(index)
+        for index in range(len(fleet.daemons)):
+            await fleet.start_daemon(index)
+        started = {daemon.context.daemon for daemon in fleet.daemons}
+        view = fleet.daemons[0].context.view
+        await fleet.wait_until(
+            lambda: (
+                len(view.assignment_by_shard) > 0
+                and started.issuperset(
+                    a.keeper for a in view.assignment_by_shard.values()
+                )
+            )
+        )
+
+    run_fleet(scenario)
