--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -2,29 +2,14 @@
 
 from __future__ import annotations
 
-import sys
 from collections import Counter
 from dataclasses import dataclass
 from functools import cached_property
 from typing import TYPE_CHECKING
 
 from opentelemetry import trace
-from opentelemetry.metrics import Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.export import (
-    ConsoleMetricExporter,
-    MetricExporter,
-    MetricReader,
-    PeriodicExportingMetricReader,
-)
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import TracerProvider
-from opentelemetry.sdk.trace.export import (
-    BatchSpanProcessor,
-    ConsoleSpanExporter,
-    SpanExporter,
-)
-from opentelemetry.trace import Span
+from opentelemetry.metrics import MeterProvider, NoOpMeterProvider, Observation
+from opentelemetry.trace import NoOpTracerProvider, Span, TracerProvider
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 if TYPE_CHECKING:
@@ -33,6 +18,7 @@
 
     from opentelemetry.metrics import CallbackOptions, Histogram, Meter
 
+    from bramleyglade_adapters.telemetry_export import Exporters
     from bramleyglade_core.model.settings import DaemonSettings
 
 _MILLISECONDS_PER_SECOND = 1000.0
@@ -90,19 +76,19 @@
     def __init__(self, settings: DaemonSettings, random_source: random.Random) -> None:
         self._settings = settings.telemetry
         self._random = random_source
-        resource = Resource.create(
-            {"service.name": "bramleygladed", "service.instance.id": settings.name}
-        )
-        self._tracers = TracerProvider(resource=resource)
-        self._tracer = self._tracers.get_tracer("bramleyglade")
-        self._is_exporting = self._settings.exporter != "none"
-        self._meters = MeterProvider(self._metric_readers(), resource=resource)
-        self._meter = self._meters.get_meter("bramleyglade")
+        self._exporters: Exporters | None = None
+        tracers: TracerProvider = NoOpTracerProvider()
+        meters: MeterProvider = NoOpMeterProvider()
+        if self._settings.exporter != "none":
+            from bramleyglade_adapters.telemetry_export import Exporters
+
+            self._exporters = Exporters(settings)
+            tracers, meters = self._exporters.tracers, self._exporters.meters
+        self._tracer = tracers.get_tracer("bramleyglade")
+        self._meter = meters.get_meter("bramleyglade")
         self._requests = EventCounter(self._meter, "bramleyglade.requests")
         self._attempts = EventCounter(self._meter, "bramleyglade.attempts")
         self._events = EventCounter(self._meter, "bramleyglade.events")
-        if self._is_exporting:
-            self._tracers.add_span_processor(BatchSpanProcessor(self._span_exporter()))
 
     @cached_property
     def _front_latency(self) -> Histogram:
@@ -148,7 +134,7 @@
         Returns:
             The hop, with the context for the next one.
         """
-        if not self._is_exporting:
+        if self._exporters is None:
             return Hop(traceparent)
         if not traceparent and is_root:
             if self._random.random() >= self._settings.trace_share:
@@ -163,32 +149,8 @@
 
     def shut_down(self) -> None:
         """Export what is pending and stop."""
-        self._tracers.shutdown()
-        self._meters.shutdown()
-
-    def _metric_readers(self) -> list[MetricReader]:
-        if not self._is_exporting:
-            return []
-        exporter: MetricExporter = ConsoleMetricExporter(
-            out=sys.stderr, formatter=_to_json_line
-        )
-        if self._settings.exporter == "otlp":
-            from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
-                OTLPMetricExporter,
-            )
-
-            exporter = OTLPMetricExporter(f"{self._settings.endpoint}/v1/metrics")
-        milliseconds = self._settings.period_seconds * _MILLISECONDS_PER_SECOND
-        return [PeriodicExportingMetricReader(exporter, milliseconds)]
-
-    def _span_exporter(self) -> SpanExporter:
-        if self._settings.exporter == "otlp":
-            from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
-                OTLPSpanExporter,
-            )
-
-            return OTLPSpanExporter(f"{self._settings.endpoint}/v1/traces")
-        return ConsoleSpanExporter(out=sys.stderr, formatter=_to_json_line)
+        if self._exporters is not None:
+            self._exporters.shut_down()
 
 
 def _is_sampled(traceparent: str) -> bool:
@@ -196,11 +158,6 @@
     return bool(flags) and bool(int(flags, 16) & _SAMPLED_FLAG)
 
 
-def _to_json_line(value: object) -> str:
-    to_json = value.to_json  # type: ignore[attr-defined]
-    return to_json(indent=None) + "\n"
-
-
 def traceparent_of(headers: Mapping[str, str]) -> str:
     """Return the traceparent of a request, or an empty string if it is invalid."""
     text = headers.get("traceparent", "")
--- a/packages/daemon/src/bramleyglade_daemon/program.py
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING
 
 import curio
-import fire
 
 from bramleyglade_adapters.logs import set_up_logs
 from bramleyglade_adapters.settings_file import load_settings
@@ -107,6 +106,8 @@
 
 def main() -> None:
     """Run the program with the arguments of the command line."""
+    import fire  # Other front ends don't need the command line at their start.
+
     fire.Fire(run, name="bramleygladed")
 
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -6,6 +6,8 @@
 import json
 import logging
 import random
+import subprocess
+import sys
 import threading
 from dataclasses import replace
 
@@ -80,3 +82,25 @@
     assert "\n" not in line
     assert json.loads(line)["event"] == "TargetEjected"
     assert json.loads(line)["target"] == "target-0"
+
+
+def test_daemon_that_exports_nothing_starts_without_the_sdk():
+    """Imports are late seconds after a loss of all power."""
+    program = (
+        "import sys, bramleyglade_platform.__main__\n"
+        "print([n for n in sys.modules if n.split('.')[:2] == ['opentelemetry', 'sdk']"
+        " or n == 'fire'])"
+    )
+    printed = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert printed.stdout.strip() == "[]"
+
+
+def test_daemon_that_exports_nothing_counts_without_effect(settings):
+    telemetry = make_telemetry(settings)
+    telemetry.note_request("ok", "ran", 0.1)
+    telemetry.note_attempt("catalogue", "ok", 0.1)
+    telemetry.note_idle("catalogue", 0.1)
+    assert telemetry.start_hop("front", "", is_root=True).span is None
+    telemetry.shut_down()
