--- a/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
@@ -10,7 +10,7 @@
 from bramleyglade_core.model.shares import BookHandedOver, ShareGranted
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from bramleyglade_core.model.announcements import KeeperAssignment
     from bramleyglade_core.model.entities import Team
@@ -54,6 +54,8 @@
         self._unresponsive_by_name: dict[str, DaemonId] = {}
         """Daemons without a report, assumed to hold the largest allowed share."""
         self._assumed_until = now
+        self._last_use_by_daemon: Mapping[DaemonId, float] = {}
+        """Times after which a leaving daemon spends nothing, in seconds."""
 
     @property
     def lease_wait_seconds(self) -> float:
@@ -111,7 +113,11 @@
             self._start_collecting(now)
 
     def apply_reports(
-        self, shares: Iterable[HeldShare], unresponsive: Iterable[DaemonId], now: float
+        self,
+        shares: Iterable[HeldShare],
+        unresponsive: Iterable[DaemonId],
+        now: float,
+        last_use_by_daemon: Mapping[DaemonId, float] | None = None,
     ) -> None:
         """Start granting, since every daemon's shares are now reported or assumed.
 
@@ -120,9 +126,12 @@
             unresponsive: The daemons without a report. Each is assumed to hold the
                 largest allowed share until that has lapsed or the daemon reports.
             now: Time of this process's clock, in seconds.
+            last_use_by_daemon: Times after which leaving daemons spend nothing; their
+                shares are assumed no longer than until then.
         """
         if self.phase is not KeeperPhase.COLLECTING:
             return
+        self._last_use_by_daemon = last_use_by_daemon or {}
         self._unresponsive_by_name = {daemon.name: daemon for daemon in unresponsive}
         self._assumed_until = self._next_phase_from
         for share in shares:
@@ -196,7 +205,9 @@
         if allocator is None:
             allocator = TeamAllocator(self._settings.limits, level, free_since)
             for daemon in self._unresponsive_by_name.values():
-                allocator.assume_held(daemon, self._assumed_until)
+                last_use = self._last_use_by_daemon.get(daemon, self._assumed_until)
+                until = min(last_use, self._assumed_until)
+                allocator.assume_held(daemon, until)
             self._allocator_by_team[team] = allocator
         return allocator
 
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -292,6 +292,14 @@
     peers: PeerSettings = field(default_factory=PeerSettings)
     telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
 
+    @property
+    def last_use_seconds(self) -> float:
+        """Time from the start of a planned stop after which no share is spent.
+
+        Requests of teams are accepted during the notice and may wait for a share.
+        """
+        return self.notice_seconds + self.limits.answer_wait_seconds
+
     def __post_init__(self) -> None:
         _require(bool(self.name), "name must not be empty")
         _require(bool(self.zone), "zone must not be empty")
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -68,6 +68,10 @@
         """Epochs in which this daemon has stopped granting, as it leaves."""
         self._predecessor_by_shard: dict[int, DaemonId] = {}
         """Former keepers of shards that this daemon has claimed."""
+        self._leaving_since: dict[DaemonId, float] = {}
+        """When this daemon learned that a member leaves, in seconds."""
+        self._leaving_version = -1
+        """Version of the members that they were chosen from."""
         self._shards_being_queried: set[int] = set()
         self._pending_handovers: list[BookHandedOver] = []
         """Handovers of superseded keepers, not sent yet."""
@@ -81,6 +85,7 @@
         """Claim shards without a keeper and advance new keepers, until cancelled."""
         while True:
             self.apply_assignments()
+            self._note_leaving()
             await self._send_pending_handovers()
             if self._context.lease.is_valid and not self._context.is_leaving:
                 await self._claim_orphans()
@@ -309,6 +314,18 @@
                 self._shards_being_queried.add(shard)
                 await curio.spawn(self._query_all_holdings, shard, keeper, daemon=True)
 
+    def _note_leaving(self) -> None:
+        directory = self._context.directory
+        if self._leaving_version == directory.members_version:
+            return
+        self._leaving_version = directory.members_version
+        now = self._context.clock()
+        self._leaving_since = {
+            record.daemon: self._leaving_since.get(record.daemon, now)
+            for record in directory.record_by_name.values()
+            if record.phase is DaemonPhase.LEAVING
+        }
+
     def _has_ended(self, daemon: DaemonId) -> bool:
         """Return whether a daemon's process has left or a later one has started."""
         record = self._context.directory.record_by_name.get(daemon.name)
@@ -337,7 +354,14 @@
                     for name in survey.unresponsive(directory.member_names())
                 ]
                 now = self._context.clock()
-                keeper.apply_reports(survey.shares(), unresponsive, now)
+                self._note_leaving()
+                last_use_by_daemon = {
+                    daemon: since + self._context.settings.last_use_seconds
+                    for daemon, since in self._leaving_since.items()
+                }
+                keeper.apply_reports(
+                    survey.shares(), unresponsive, now, last_use_by_daemon
+                )
                 self._log_phase(keeper, before)
         finally:
             self._shards_being_queried.discard(shard)
--- a/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/team_limiter.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import curio
 
 from bramleyglade_core.decisions.share_holding import ShareHolding
-from bramleyglade_core.model.errors import ErrorCode, KeyRefused, RateExceeded
+from bramleyglade_core.model.errors import (
+    AttemptError,
+    ErrorCode,
+    KeyRefused,
+    RateExceeded,
+)
 from bramleyglade_core.model.shares import TOTAL_SHARE_UNITS, HoldingsTold
 
 if TYPE_CHECKING:
@@ -34,6 +40,10 @@
 """Longest wait for the share's own refill if no keeper answers."""
 
 
+_STOPPING_RETRY_SECONDS = 0.05
+"""Retry delay of a request that comes during a stop; another VM can take it."""
+
+
 class _TeamShare:
     """A team's holding and the number of requests that wait for it."""
 
@@ -60,6 +70,7 @@
         Raises:
             RateExceeded: If the rate and burst are used up or no keeper answers.
             KeyRefused: If this daemon's lease has lapsed.
+            AttemptError: If this daemon has left so far that it spends no share.
         """
         share = self._share(team)
         holding = share.holding
@@ -142,7 +153,23 @@
                 "the lease of this VM has lapsed",
                 retry_after=1.0,
             )
-        return share.holding.try_admit(team, self._context.clock())
+        now = self._context.clock()
+        if now >= self._last_use_at:
+            raise AttemptError(
+                ErrorCode.DAEMON_STOPPING,
+                "this VM's daemon is being stopped",
+                retry_after=_STOPPING_RETRY_SECONDS,
+            )
+        return share.holding.try_admit(team, now)
+
+    @property
+    def _last_use_at(self) -> float:
+        """When this daemon stops spending shares, as keepers assume; never if inf."""
+        schedule = self._context.stop_schedule
+        if schedule is None:
+            return math.inf
+        wait = self._context.settings.limits.answer_wait_seconds
+        return schedule.notice_ends_at + wait
 
     async def _wait_for_share(self, share: _TeamShare, team: Team) -> bool:
         """Wait for a grant or, if no keeper answers, for the share's own refill."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 import curio
+import pytest
 from benchmarks.limiter import (
     KeeperModel,
     ideal,
@@ -20,9 +21,11 @@
 
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
 from bramleyglade_core.decisions.share_holding import ShareHolding
+from bramleyglade_core.decisions.stop_schedule import plan_stop
 from bramleyglade_core.decisions.team_allocator import TeamAllocator
 from bramleyglade_core.model.announcements import KeeperAssignment, MemberRecord
 from bramleyglade_core.model.entities import Team
+from bramleyglade_core.model.errors import AttemptError
 from bramleyglade_core.model.identifiers import DaemonId
 from bramleyglade_core.model.settings import LimitSettings
 from bramleyglade_core.model.shares import TOTAL_SHARE_UNITS, HeldShare
@@ -309,6 +312,25 @@
     assert admitted_after_lapse > 0.5 * TEAM.rate * (clock.now - counted_from)
 
 
+def test_shares_of_absent_leaving_daemons_are_not_assumed_after_their_notice(
+    settings, clock
+):
+    """Seven VMs that were leaving when all lost power locked all rates for 4 s."""
+    settings = with_largest_holding(settings)
+    keeper = make_keeper(settings, clock)
+    leaving = [DaemonId(f"leaving-{i}", 1) for i in range(7)]
+    keeper.note_predecessor_ended(clock.now)
+    last_use = clock.now + 1.0
+    keeper.apply_reports((), leaving, clock.now, dict.fromkeys(leaving, last_use))
+    holding = ShareHolding(NEW, settings.limits)
+    clock.advance(0.9)
+    keeper.confirm({TEAM.name: TEAM}, clock.now)
+    assert not grant_to(keeper, holding, clock, arrivals=8).added_units
+    clock.advance(0.2)
+    keeper.confirm({TEAM.name: TEAM}, clock.now)
+    assert grant_to(keeper, holding, clock, arrivals=0).added_units
+
+
 def test_late_report_replaces_the_assumed_share(settings, clock):
     settings = with_largest_holding(settings)
     keeper = make_keeper(settings, clock)
@@ -562,3 +584,17 @@
         )
 
     run_fleet(scenario)
+
+
+def test_leaving_daemon_spends_no_share_after_its_notice(run_fleet):
+    """New keepers assume so of a leaving daemon that does not answer."""
+
+    async def scenario(fleet):
+        assert (await fleet.call()).status == 200
+        context = fleet.daemons[0].context
+        context.stop_schedule = plan_stop(context.settings, context.clock() - 100.0)
+        team = context.configuration.team_by_name["studio"]
+        with pytest.raises(AttemptError):
+            await fleet.daemons[0].limiter.admit(team)
+
+    run_fleet(scenario)
