--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -10,7 +10,7 @@
 from bramleyglade_adapters.store.shared_objects import keeper_key
 from bramleyglade_adapters.structure import to_json
 from bramleyglade_core.decisions.holdings_survey import HoldingsSurvey
-from bramleyglade_core.decisions.rendezvous import shard_of, winner
+from bramleyglade_core.decisions.rendezvous import rank, shard_of, winner
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
 from bramleyglade_core.model.announcements import DaemonPhase, KeeperAssignment
 from bramleyglade_core.model.ejections import EjectionAsked, EjectionTold
@@ -200,16 +200,23 @@
 
     async def hand_over_all(self) -> None:
         """Hand each shard over to a successor, as this daemon leaves."""
-        has_handed_over = False
-        for shard, keeper in list(self._keeper_by_shard.items()):
-            if not self._has_handed_over(keeper):
-                self._epoch_by_handed_over_shard[shard] = keeper.assignment.epoch
-                await self._hand_over(shard, keeper)
-                has_handed_over = True
-        if has_handed_over:
-            # Peers learn of the assignments at once instead of at the next poll.
-            await self._shared.read_now()
-            self.apply_assignments()
+        serving = self._context.directory.serving_names()
+        others = [name for name in serving if name != self._context.settings.name]
+        granting = [
+            keeper
+            for keeper in self._keeper_by_shard.values()
+            if keeper.phase is KeeperPhase.GRANTING
+            and not self._has_handed_over(keeper)
+        ]
+        if not others or not granting:
+            return
+        for keeper in granting:
+            shard = keeper.assignment.shard
+            self._epoch_by_handed_over_shard[shard] = keeper.assignment.epoch
+            await self._hand_over(keeper, rank(f"shard/{shard}", others)[0])
+        # Peers learn of the assignments at once instead of at the next poll.
+        await self._shared.read_now()
+        self.apply_assignments()
 
     def _step_down(self, keeper: ShardKeeper, assignment: KeeperAssignment) -> None:
         """Stop keeping a shard that another daemon has claimed.
@@ -490,12 +497,8 @@
         if handover is not None:
             keeper.accept_handover(handover, now)
 
-    async def _hand_over(self, shard: int, keeper: ShardKeeper) -> None:
-        serving = self._context.directory.serving_names()
-        others = [name for name in serving if name != self._context.settings.name]
-        successor = winner(f"shard/{shard}", others)
-        if successor is None or keeper.phase is not KeeperPhase.GRANTING:
-            return
+    async def _hand_over(self, keeper: ShardKeeper, successor: str) -> None:
+        shard = keeper.assignment.shard
         daemon = self._context.directory.record_by_name[successor].daemon
         assignment = KeeperAssignment(shard, daemon, keeper.assignment.epoch + 1)
         try:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -275,3 +275,17 @@
         assert leaving.keepers._find_local_keeper("team/studio") is not None
 
     run_fleet(scenario, daemons=3, zones=1)
+
+
+def test_leaving_keeper_that_collects_shares_goes_on_confirming_them(run_fleet):
+    """It can't hand over yet; holders it refuses would lose what they hold."""
+
+    async def scenario(fleet):
+        shard = fleet.daemons[0].keepers.shard_of_team("studio")
+        name = fleet.daemons[0].context.view.assignment_by_shard[shard].keeper.name
+        leaving = next(d for d in fleet.daemons if d.context.settings.name == name)
+        leaving.keepers._keeper_by_shard[shard].phase = KeeperPhase.WAITING
+        await leaving.keepers.hand_over_all()
+        assert leaving.keepers._find_local_keeper("team/studio") is not None
+
+    run_fleet(scenario, daemons=3, zones=1)
