--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -289,3 +289,22 @@
         assert leaving.keepers._find_local_keeper("team/studio") is not None
 
     run_fleet(scenario, daemons=3, zones=1)
+
+
+def test_leaving_keeper_grants_nothing_after_a_handover_without_an_answer(run_fleet):
+    """The write may have taken effect, and then two keepers would grant."""
+
+    async def scenario(fleet):
+        shard = fleet.daemons[0].keepers.shard_of_team("studio")
+        name = fleet.daemons[0].context.view.assignment_by_shard[shard].keeper.name
+        leaving = next(d for d in fleet.daemons if d.context.settings.name == name)
+        fleet.store.faults = StoreFaults(lost_answers=1)
+        await leaving.keepers.hand_over_all()
+        assert leaving.keepers._find_local_keeper("team/studio") is None
+        others = [d for d in fleet.daemons if d is not leaving]
+        await fleet.wait_until(
+            lambda: any(d.keepers._find_local_keeper("team/studio") for d in others)
+        )
+        assert leaving.keepers._find_local_keeper("team/studio") is None
+
+    run_fleet(scenario, daemons=3, zones=1)
