--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -281,7 +281,11 @@
     stop_seconds: float = 30.0
     """Longest duration of a graceful stop."""
     notice_seconds: float = 1.0
-    """Time for which a leaving daemon still answers requests on open connections."""
+    """Time for which a leaving daemon still answers requests on open connections.
+
+    Must be the same on all daemons: a new keeper assumes no share of a leaving daemon
+    after it.
+    """
     local_target: LocalTarget | None = None
     """Target whose health is checked at the start; None if targets only announce."""
     lease: LeaseSettings = field(default_factory=LeaseSettings)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -9,7 +9,6 @@
 
 from bramleyglade_adapters.store.shared_objects import keeper_key
 from bramleyglade_adapters.structure import to_json
-from bramleyglade_core.decisions.holdings_survey import HoldingsSurvey
 from bramleyglade_core.decisions.rendezvous import rank, shard_of, winner
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
 from bramleyglade_core.model.announcements import DaemonPhase, KeeperAssignment
@@ -18,12 +17,12 @@
 from bramleyglade_core.model.settings import OutagePolicy
 from bramleyglade_core.model.shares import (
     BookHandedOver,
-    HoldingsAsked,
     HoldingsTold,
     ShareAsked,
     ShareGranted,
     ShareRecalled,
 )
+from bramleyglade_daemon.fleet.holdings_collector import HoldingsCollector, log_phase
 from bramleyglade_daemon.fleet.keeper_calls import ANSWER_TIMEOUT_SECONDS, KeeperCalls
 from bramleyglade_daemon.fleet.peers import expect
 from bramleyglade_daemon.fleet.shared_state import STORE_REPORT_MAX_AGE_SECONDS
@@ -68,11 +67,7 @@
         """Epochs in which this daemon has stopped granting, as it leaves."""
         self._predecessor_by_shard: dict[int, DaemonId] = {}
         """Former keepers of shards that this daemon has claimed."""
-        self._leaving_since: dict[DaemonId, float] = {}
-        """When this daemon learned that a member leaves, in seconds."""
-        self._leaving_version = -1
-        """Version of the members that they were chosen from."""
-        self._shards_being_queried: set[int] = set()
+        self._collector = HoldingsCollector(context, peers, self._report_holdings)
         self._pending_handovers: list[BookHandedOver] = []
         """Handovers of superseded keepers, not sent yet."""
         self._calls = KeeperCalls(context, peers)
@@ -85,7 +80,7 @@
         """Claim shards without a keeper and advance new keepers, until cancelled."""
         while True:
             self.apply_assignments()
-            self._note_leaving()
+            self._collector.note_leaving()
             await self._send_pending_handovers()
             if self._context.lease.is_valid and not self._context.is_leaving:
                 await self._claim_orphans()
@@ -307,31 +302,17 @@
     async def _collect_reports(self) -> None:
         """Shorten the waits of new keepers by querying every daemon's holdings."""
         for shard, keeper in list(self._keeper_by_shard.items()):
-            if shard in self._shards_being_queried:
-                continue
-            if keeper.phase is KeeperPhase.GRANTING:
-                await self._query_unresponsive(shard, keeper)
-                continue
             predecessor = self._predecessor_by_shard.get(shard)
             if predecessor is not None and self._has_ended(predecessor):
                 before = keeper.phase
                 keeper.note_predecessor_ended(self._context.clock())
-                self._log_phase(keeper, before)
-            if keeper.phase is KeeperPhase.COLLECTING:
-                self._shards_being_queried.add(shard)
-                await curio.spawn(self._query_all_holdings, shard, keeper, daemon=True)
+                log_phase(keeper, before, self._context.clock())
+            await self._collector.advance(keeper)
 
-    def _note_leaving(self) -> None:
-        directory = self._context.directory
-        if self._leaving_version == directory.members_version:
-            return
-        self._leaving_version = directory.members_version
-        now = self._context.clock()
-        self._leaving_since = {
-            record.daemon: self._leaving_since.get(record.daemon, now)
-            for record in directory.record_by_name.values()
-            if record.phase is DaemonPhase.LEAVING
-        }
+    def _report_holdings(self, shard: int) -> HoldingsTold | None:
+        if self.on_holdings_asked is None:
+            return None
+        return self.on_holdings_asked(shard)
 
     def _has_ended(self, daemon: DaemonId) -> bool:
         """Return whether a daemon's process has left or a later one has started."""
@@ -342,85 +323,6 @@
             return True
         return record.daemon == daemon and record.phase is DaemonPhase.GONE
 
-    async def _query_all_holdings(self, shard: int, keeper: ShardKeeper) -> None:
-        """Query all members' holdings.
-
-        An unresponsive member is assumed to hold the largest allowed share.
-        """
-        before = keeper.phase
-        directory = self._context.directory
-        survey = HoldingsSurvey()
-        try:
-            while unasked := survey.unasked(directory.member_names()):
-                report_by_name = await self._gather_holdings(unasked, shard)
-                for name in unasked:
-                    survey.note(name, report_by_name.get(name))
-            if self._keeper_by_shard.get(shard) is keeper:
-                unresponsive = [
-                    directory.record_by_name[name].daemon
-                    for name in survey.unresponsive(directory.member_names())
-                ]
-                now = self._context.clock()
-                self._note_leaving()
-                last_use_by_daemon = {
-                    daemon: since + self._context.settings.last_use_seconds
-                    for daemon, since in self._leaving_since.items()
-                }
-                keeper.apply_reports(
-                    survey.shares(), unresponsive, now, last_use_by_daemon
-                )
-                self._log_phase(keeper, before)
-        finally:
-            self._shards_being_queried.discard(shard)
-
-    async def _query_unresponsive(self, shard: int, keeper: ShardKeeper) -> None:
-        """Query the members again that have not reported their holdings."""
-        names = keeper.unresponsive_names(self._context.clock())
-        if names:
-            self._shards_being_queried.add(shard)
-            await curio.spawn(
-                self._query_late_reports, names, shard, keeper, daemon=True
-            )
-
-    async def _query_late_reports(
-        self, names: list[str], shard: int, keeper: ShardKeeper
-    ) -> None:
-        try:
-            report_by_name = await self._gather_holdings(names, shard)
-            for name, report in report_by_name.items():
-                keeper.apply_late_report(name, report.lines, self._context.clock())
-        finally:
-            self._shards_being_queried.discard(shard)
-
-    async def _gather_holdings(
-        self, names: list[str], shard: int
-    ) -> dict[str, HoldingsTold]:
-        """Query members' holdings; members that don't answer are left out."""
-        tasks = [await curio.spawn(self._query_holdings, name, shard) for name in names]
-        answers = [await task.join() for task in tasks]
-        return {
-            name: answer
-            for name, answer in zip(names, answers, strict=True)
-            if answer is not None
-        }
-
-    async def _query_holdings(self, name: str, shard: int) -> HoldingsTold | None:
-        if name == self._context.settings.name:
-            return (
-                self.on_holdings_asked(shard)
-                if self.on_holdings_asked is not None
-                else None
-            )
-        try:
-            answer = await self._peers.call(
-                name, HoldingsAsked(shard), ANSWER_TIMEOUT_SECONDS
-            )
-            return expect(answer, HoldingsTold)
-        except FleetError as error:
-            extra = {"member": name, "shard": shard, "why": str(error)}
-            _LOG.info("HoldingsUnknown", extra=extra)
-            return None
-
     async def _claim(self, shard: int, current: KeeperAssignment | None) -> None:
         if current is not None:
             self._predecessor_by_shard[shard] = current.keeper
@@ -469,16 +371,7 @@
             if self._keeper_by_shard.get(keeper.assignment.shard) is keeper:
                 before = keeper.phase
                 keeper.confirm(self._context.configuration.team_by_name, now)
-                self._log_phase(keeper, before)
-
-    def _log_phase(self, keeper: ShardKeeper, before: KeeperPhase) -> None:
-        if keeper.phase is not before:
-            extra = {
-                "shard": keeper.assignment.shard,
-                "phase": keeper.phase.value,
-                "unresponsive": keeper.unresponsive_names(self._context.clock()),
-            }
-            _LOG.info("KeeperAdvanced", extra=extra)
+                log_phase(keeper, before, self._context.clock())
 
     def _is_keeper_live(
         self, shard: int, assignment: KeeperAssignment, now: float
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -532,9 +532,9 @@
 
     async def scenario(fleet):
         own = fleet.daemons[0]
-        own_keepers, directory = own.keepers, own.context.directory
+        collector, directory = own.keepers._collector, own.context.directory
         asked = Counter()
-        query = own_keepers._query_holdings
+        query = collector._query
 
         async def count_queries(name, shard):
             asked[name] += 1
@@ -542,13 +542,10 @@
                 add_absent_member(directory, len(directory.record_by_name))
             return await query(name, shard)
 
-        own_keepers._query_holdings = count_queries
+        collector._query = count_queries
         keeper = ShardKeeper(assignment_of(2), own.context.settings, 0.0)
         keeper.note_predecessor_ended(own.context.clock())
-        own_keepers.apply_assignments = lambda: None
-        own_keepers._keeper_by_shard[0] = keeper
-        own_keepers._shards_being_queried.add(0)
-        await own_keepers._query_all_holdings(0, keeper)
+        await collector._query_all(keeper)
         assert keeper.phase is KeeperPhase.GRANTING
         assert len(asked) == 8
         assert set(asked.values()) == {1}
