--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import curio
@@ -241,12 +242,14 @@
             return None
 
     def _log_suspicion(self, record: MemberRecord, source: str) -> None:
-        silent_seconds = self._peers.unresponsive_seconds(record.daemon.name)
+        silent_seconds = self._peers.seconds_since_seen(record.daemon.name)
         extra = {
             "member": record.daemon.name,
             "address": str(record.address),
             "by": source,
-            "silent_seconds": round(silent_seconds, 2),
+            "silent_seconds": (
+                round(silent_seconds, 2) if math.isfinite(silent_seconds) else None
+            ),
         }
         _LOG.warning("MemberSuspected", extra=extra)
 
