--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -148,7 +148,7 @@
     Mutation(
         "rate and burst: what a silent daemon may hold is not granted",
         f"{_CORE}/shard_keeper.py",
-        "allocator.assume_held(daemon, self._assumed_until)",
+        "allocator.assume_held(daemon, until)",
         "pass",
         "tests/test_shares.py",
     ),
@@ -204,7 +204,7 @@
     ),
     Mutation(
         "whole answers: one that breaks off is not passed off as whole",
-        f"{_DAEMON}/front/caller_task.py",
+        f"{_DAEMON}/front/caller_exchange.py",
         "            await self._reset_connection()\n            return\n        self",
         "            self._connection.end_answer()\n"
         "            await self._connection.flush()\n            return\n        self",
@@ -238,6 +238,41 @@
         "",
         "tests/test_idle_targets.py -k reached",
     ),
+    Mutation(
+        "two keepers never both grant: a leaving keeper after its handover",
+        f"{_DAEMON}/fleet/keepers.py",
+        "if keeper is None or self._has_handed_over(keeper):",
+        "if keeper is None:",
+        "tests/test_planned_stop.py -k without_an_answer",
+    ),
+    Mutation(
+        "rate and burst: a leaving daemon after its notice",
+        f"{_DAEMON}/front/team_limiter.py",
+        "if now >= self._last_use_at:",
+        "if False:",
+        "tests/test_shares.py -k leaving",
+    ),
+    Mutation(
+        "rate and burst: shares of leaving daemons until their notice has passed",
+        f"{_CORE}/shard_keeper.py",
+        "until = min(last_use, self._assumed_until)",
+        "until = 0.0 if last_use < self._assumed_until else last_use",
+        "tests/test_shares.py -k leaving",
+    ),
+    Mutation(
+        "a daemon that is cut off suspects no other",
+        f"{_DAEMON}/fleet/membership.py",
+        "if any(answers) or (needs_answer and False not in answers):",
+        "if any(answers):",
+        "tests/test_failure_detection.py",
+    ),
+    Mutation(
+        "bytes without end block no task",
+        "adapters/src/bramleyglade_adapters/fair_turns.py",
+        "if self._steps >= _STEPS_PER_TURN:",
+        "if False:",
+        "tests/test_fair_turns.py",
+    ),
 )
 
 
--- a/tests/test_failure_detection.py
+++ b/tests/test_failure_detection.py
@@ -66,7 +66,11 @@
 ):
     async def scenario(fleet):
         for other in (1, 2):
-            fleet.silence_links(other, 0)
+            fleet.blocked_pairs.add(frozenset((0, other)))
+            await fleet.cut_links(0, other)
+        peers = fleet.daemons[0].peers
+        bound = fleet.settings[0].peers.suspect_seconds
+        await fleet.wait_until(lambda: peers.seconds_since_seen("vm-1") > bound)
         await call_unanswered(fleet, "vm-1")
         assert fleet.daemons[0].context.directory.is_live("vm-1")
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -299,7 +299,10 @@
         name = fleet.daemons[0].context.view.assignment_by_shard[shard].keeper.name
         leaving = next(d for d in fleet.daemons if d.context.settings.name == name)
         fleet.store.faults = StoreFaults(lost_answers=1)
+        view = leaving.context.view
+        view.apply = lambda _: False  # It learns of no assignment yet.
         await leaving.keepers.hand_over_all()
+        assert view.assignment_by_shard[shard].keeper.name == name
         assert leaving.keepers._find_local_keeper("team/studio") is None
         others = [d for d in fleet.daemons if d is not leaving]
         await fleet.wait_until(
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -323,6 +323,7 @@
     last_use = clock.now + 1.0
     keeper.apply_reports((), leaving, clock.now, dict.fromkeys(leaving, last_use))
     holding = ShareHolding(NEW, settings.limits)
+    assert not grant_to(keeper, holding, clock, arrivals=0).added_units
     clock.advance(0.9)
     keeper.confirm({TEAM.name: TEAM}, clock.now)
     assert not grant_to(keeper, holding, clock, arrivals=8).added_units
