--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -92,7 +92,7 @@
             self.guard,
         )
         self.peers.on_link_opened = self._handle_hello
-        self.peers.on_unanswered = self.membership.probe_unanswered
+        self.keepers.calls.on_unanswered = self.membership.probe_unanswered
         self.guard.on_changed = self.records.publish
         self.guard.keep_record = self.member_store.keep_record
         self.records.on_history = self.guard.restore
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keeper_calls.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keeper_calls.py
@@ -11,6 +11,8 @@
 from bramleyglade_daemon.fleet.peers import expect
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from bramleyglade_adapters.link.link import Link
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.peers import Peers
@@ -38,6 +40,8 @@
         self._peers = peers
         self._relayed_until_by_keeper: dict[str, float] = {}
         """Time up to which a keeper is called through neighbours only."""
+        self.on_unanswered: Callable[[str], Awaitable[None]] | None = None
+        """Called with the name of a keeper that did not answer a direct call."""
 
     async def request_share(
         self, request: ShareAsked, keeper: str
@@ -57,7 +61,7 @@
                 answer = await self._peers.call(keeper, request, ANSWER_TIMEOUT_SECONDS)
                 return expect(answer, ShareGranted)
             except FleetError as error:
-                _log_unreachable(keeper, error)
+                await self._note_unreachable(keeper, error)
                 self._relayed_until_by_keeper[keeper] = now + _RELAY_ONLY_SECONDS
         for link in self._relay_links(keeper)[:1]:
             try:
@@ -76,7 +80,7 @@
             answer = await self._peers.call(keeper, request, _RELAY_TIMEOUT_SECONDS)
             return expect(answer, ShareGranted)
         except FleetError as error:
-            _log_unreachable(keeper, error)
+            await self._note_unreachable(keeper, error)
             return None
 
     async def send_handover(self, handover: BookHandedOver) -> bool:
@@ -88,7 +92,7 @@
                 Acknowledged,
             )
         except FleetError as error:
-            _log_unreachable(keeper, error)
+            await self._note_unreachable(keeper, error)
             return False
         return True
 
@@ -102,6 +106,11 @@
             except FleetError as error:
                 _log_relay_failed(handover.successor, link, error)
 
+    async def _note_unreachable(self, keeper: str, error: FleetError) -> None:
+        _LOG.info("KeeperUnreachable", extra={"keeper": keeper, "why": str(error)})
+        if self.on_unanswered is not None:
+            await self.on_unanswered(keeper)
+
     def _relay_links(self, keeper: str) -> list[Link]:
         """Return the links to possible relays for a keeper, in random order."""
         links = [
@@ -112,10 +121,6 @@
         return self._context.random.sample(links, len(links))
 
 
-def _log_unreachable(keeper: str, error: FleetError) -> None:
-    _LOG.info("KeeperUnreachable", extra={"keeper": keeper, "why": str(error)})
-
-
 def _log_relay_failed(keeper: str, link: Link, error: FleetError) -> None:
     extra = {"keeper": keeper, "relay": link.peer_name, "why": str(error)}
     _LOG.info("RelayFailed", extra=extra)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -70,7 +70,7 @@
         self._collector = HoldingsCollector(context, peers, self._report_holdings)
         self._pending_handovers: list[BookHandedOver] = []
         """Handovers of superseded keepers, not sent yet."""
-        self._calls = KeeperCalls(context, peers)
+        self.calls = KeeperCalls(context, peers)
         self.on_holdings_asked: Callable[[int], HoldingsTold] | None = None
         """Called with a shard; returns what this daemon holds of its teams."""
         self.on_recalled: Callable[[str], None] | None = None
@@ -117,14 +117,14 @@
             return None
         if name == self._context.settings.name:
             return await self.answer_share(request)
-        return await self._calls.request_share(request, name)
+        return await self.calls.request_share(request, name)
 
     async def relay_share(self, request: ShareAsked) -> ShareGranted:
         """Relay a request of a daemon that can't reach the keeper."""
         name = self._keeper_name_for_key(f"team/{request.team}")
         granted = None
         if name is not None:
-            granted = await self._calls.forward_share_request(request, name)
+            granted = await self.calls.forward_share_request(request, name)
         refusal = ShareGranted(request.team, request.sequence, False, retry_after=0.5)
         return granted or refusal
 
@@ -186,7 +186,7 @@
     async def receive_handover(self, handover: BookHandedOver) -> None:
         """Apply the handover of a keeper that has stopped, or forward it."""
         if handover.successor != self._context.settings.name:
-            await curio.spawn(self._calls.send_handover, handover, daemon=True)
+            await curio.spawn(self.calls.send_handover, handover, daemon=True)
             return
         self._handover_by_shard[handover.shard] = handover
         keeper = self._keeper_by_shard.get(handover.shard)
@@ -228,7 +228,7 @@
         handovers, self._pending_handovers = self._pending_handovers, []
         for handover in handovers:
             await curio.spawn(
-                self._calls.send_handover_with_fallback, handover, daemon=True
+                self.calls.send_handover_with_fallback, handover, daemon=True
             )
 
     async def _recall(self, holder: DaemonId, team: str) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -70,7 +70,7 @@
         self._chosen_version = -1
         """Version of the directory's members that the neighbours were chosen from."""
         self._probed: set[str] = set()
-        """Members that are being or were just probed since a call failed."""
+        """Keepers that are being or were just probed since a call failed."""
 
     async def handle_suspicion(self, suspicion: SuspicionTold, source: str) -> None:
         """Suspect a daemon that a peer suspects, unless it has answered recently."""
@@ -100,10 +100,12 @@
         return LookTold(request.name, is_live)
 
     async def probe_unanswered(self, name: str) -> None:
-        """Start an indirect probe of a member that has not answered a call.
+        """Start an indirect probe of a keeper that has not answered a call.
 
-        Requests find a failed member sooner than its neighbours' heartbeats do, above
-        all after a start, when no daemon knows when the members were last seen.
+        Requests find a failed keeper sooner than its neighbours' heartbeats do, above
+        all after a start, when no daemon knows when the members were last seen. Other
+        members aren't probed for a failed call: in a fleet that starts, most calls to
+        most members fail, and each suspicion is a message to all.
         """
         if name not in self._probed and self._context.directory.is_live(name):
             self._probed.add(name)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -50,9 +50,6 @@
         """Handles messages from peers; must be set before the first link opens."""
         self.on_link_opened: Callable[[Link, HelloSaid], Awaitable[None]] | None = None
         """Called when a link has been opened by either side."""
-        self.on_unanswered: Callable[[str], Awaitable[None]] | None = None
-        """Called with the name of a peer that could not be reached or did not answer
-        in time."""
         self.neighbours: frozenset[str] = frozenset()
         """Peers that this daemon always keeps a link to."""
         self.link_by_name: dict[str, Link] = {}
@@ -134,17 +131,8 @@
         Raises:
             LinkLost: If the peer can't be reached or does not answer in time.
         """
-        try:
-            link = await self.ensure_link(name)
-            return await link.call(message, timeout_seconds)
-        except LinkLost:
-            await self.report_unanswered(name)
-            raise
-
-    async def report_unanswered(self, name: str) -> None:
-        """Report that a peer could not be reached or did not answer in time."""
-        if self.on_unanswered is not None:
-            await self.on_unanswered(name)
+        link = await self.ensure_link(name)
+        return await link.call(message, timeout_seconds)
 
     async def send_to_neighbours(self, message: Any, exclude: str = "") -> None:
         """Send a message to all neighbours but one; they forward what is new."""
--- a/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from bramleyglade_adapters.link.link import LinkLost
 from bramleyglade_core.model.errors import AttemptError, ErrorCode
 from bramleyglade_core.model.peer_messages import OutcomeAsked
 from bramleyglade_core.model.verdict import Verdict
@@ -36,11 +35,7 @@
         Raises:
             LinkLost: With the verdict `not-run`, as nothing was sent.
         """
-        try:
-            link = await self._peers.ensure_link(self._daemon.name)
-        except LinkLost:
-            await self._peers.report_unanswered(self._daemon.name)
-            raise
+        link = await self._peers.ensure_link(self._daemon.name)
         return await self._open(link, offered)
 
     async def ask_outcome(self, offered: AttemptOffered) -> FrontStream:
