--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -11,6 +11,7 @@
 from bramleyglade_adapters.http.simple_client import SimpleClient
 from bramleyglade_adapters.store.shared_objects import MEMBER_PREFIX, read_members
 from bramleyglade_adapters.structure import to_json
+from bramleyglade_core.decisions.attempt_table import AttemptPhase
 from bramleyglade_core.decisions.picker import Pick
 from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.entities import Zone
@@ -200,6 +201,14 @@
     run_fleet(scenario)
 
 
+def accepted_attempts(fleet):
+    """Count the attempts that the guards have queued or started."""
+    live = (AttemptPhase.QUEUED, AttemptPhase.STARTED)
+    tables = [daemon.guard.attempts for daemon in fleet.daemons]
+    records = [r for table in tables for r in table._record_by_attempt.values()]
+    return sum(record.phase in live for record in records)
+
+
 def test_planned_stop_cuts_no_request_and_hands_over_shards(run_fleet):
     async def scenario(fleet):
         for target in fleet.targets:
@@ -208,7 +217,7 @@
             await curio.spawn(fleet.call, index, "POST", "/songs/x", b"body")
             for index in (0, 1, 0, 1)
         ]
-        await curio.sleep(0.2)
+        await fleet.wait_until(lambda: accepted_attempts(fleet) == 4)
         await fleet.daemons[1].stop()
         answers = [await task.join() for task in tasks]
         assert [answer.status for answer in answers] == [200] * 4
