--- a/review/1/run.py
+++ b/review/1/run.py
@@ -187,6 +187,11 @@
             )
             for run in server.runs:
                 body = self.sent.get(run.request_id)
+                if body is not None and len(body) > _CHUNK_BYTES:
+                    self.record.note(
+                        f"{run.request_id} ran at {run.server} at {run.at:.3f} with "
+                        f"{len(run.body)} bytes, {digest(run.body)}"
+                    )
                 if body == run.body:
                     continue
                 changed += 1
@@ -224,6 +229,8 @@
         await asyncio.gather(*tasks)
         changed = game.count_changed()
         uploads = sum(len(body) > _CHUNK_BYTES for body in game.sent.values())
+        small = len(game.sent) - uploads
+        record.note(f"{small} small requests sent, their runs are in the counts above")
         record.note(f"{uploads} uploads, {changed} runs with a changed body")
         if not uploads:
             return kit.NOT_RUN
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -138,6 +138,9 @@
                 )
                 cut[method] += status is None and is_passed_on
             await client.close()
+        for run in sorted((r for s in servers for r in s.runs), key=lambda r: r.at):
+            line = run.headers.first_line
+            record.note(f"{run.request_id} {line} ran at {run.server} at {run.at:.3f}")
         for method, count in cut.items():
             record.note(f"{method}: {count} of {_REQUESTS} passed on and cut off")
         return kit.BROKEN if max(cut.values()) > _MAX_CUT else kit.HELD
