--- a/review/2/run.py
+++ b/review/2/run.py
@@ -17,10 +17,7 @@
 
 _DRAIN_SECONDS = 2.0
 _REUSE_AFTER_SECONDS = 2.0
-_START_AFTER_SECONDS = 0.8
-"""Time from the start of the daemon to that of the new server beside it."""
-
-_PING_DELAY_SECONDS = 2.0
+_PING_DELAY_SECONDS = 3.0
 """Time by which the new server's first ping is late."""
 
 _PER_SECOND = 40.0
@@ -117,6 +114,7 @@
     await process.wait()
     await asyncio.sleep(max(0.0, ended_at + _REUSE_AFTER_SECONDS - record.now))
     await fleet.start_daemon(machine)
+    await kit.wait_listening(machine.control)
     record.note(f"{old.instance} has ended; the daemon beside it was restarted")
 
 
@@ -143,7 +141,6 @@
         await replace(fleet, machine, servers[2])
         client = Client(fleet.machines[0], record)
         sending = asyncio.create_task(client.run(_PLAY_SECONDS))
-        await asyncio.sleep(_START_AFTER_SECONDS)
         service = "deposit" if kit.has_trouble() else "catalogue"
         fleet.write_settings(machine, service)
         fleet.processes[machine.name].send_signal(signal.SIGHUP)
