--- a/review/1/run.py
+++ b/review/1/run.py
@@ -30,7 +30,7 @@
 _REJECTING = 3
 """Servers that reject, of five (garble, share 0.6)."""
 
-_PLAY_SECONDS = 65.0
+_PLAY_SECONDS = 40.0
 _CALLS_PER_SECOND = 25.0
 """Small requests by the clients of each other machine."""
 
@@ -192,11 +192,14 @@
                         f"{run.request_id} ran at {run.server} at {run.at:.3f} with "
                         f"{len(run.body)} bytes, {digest(run.body)}"
                     )
+                if body is None:
+                    self.record.note(f"{run.server} ran {run.request_id!r}, not sent")
+                    continue
                 if body == run.body:
                     continue
                 changed += 1
-                sent = f"{len(body)} bytes, {digest(body)}" if body else "nothing"
-                is_tail = body is not None and body.endswith(run.body)
+                sent = f"{len(body)} bytes, {digest(body)}"
+                is_tail = body.endswith(run.body)
                 self.record.note(
                     f"CHANGED: {run.request_id} ran at {run.server} at {run.at:.3f} "
                     f"with {len(run.body)} bytes, {digest(run.body)}; sent were {sent}"
