Log why a request got no answer, and what a planned stop leaves

An exchange that ended without an answer was logged as caller-gone whatever the reason, and the end of a stop did not say what was unanswered, so hypotheses 2, 3, 5 and 6 of docs/incidents/2026-12-06-lost-at-planned-stops.md could not be told apart. New events: AttemptSlow, AcceptanceEnded, GraceEnded, RequestsDropped; new codes of such requests: cancelled, timed-out, crashed, answer-truncated. No decision has changed.

--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -159,10 +159,12 @@
             while self.guard.busy and context.clock() < schedule.acceptance_ends_at:
                 await curio.sleep(_STOP_POLL_SECONDS)
             await self._stop_accepting()
+            self._log_stop("AcceptanceEnded")
             await self._wait_idle()
             await self.limiter.release_all()
             await self.keepers.hand_over_all()
         await self._stop_accepting()
+        self._log_stop("GraceEnded")
         await self.front.give_up()
         async with curio.ignore_after(_LAST_ANSWERS_SECONDS):
             while self.front.busy:
@@ -176,7 +178,21 @@
         for task in self._tasks:
             await task.cancel()
         await self.peers.close()
-        _LOG.info("DaemonStopped", extra={"daemon": self.context.settings.name})
+        self._log_stop("DaemonStopped")
+
+    def _log_stop(self, event: str) -> None:
+        """Log a step of the stop, with what is still unanswered."""
+        schedule = self.context.stop_schedule
+        assert schedule is not None
+        left_seconds = schedule.ends_at - self.context.clock()
+        extra = {
+            "daemon": self.context.settings.name,
+            "front_busy": self.front.busy,
+            "guard_busy": self.guard.busy,
+            "connections": len(self.front.connections),
+            "left_seconds": round(left_seconds, 3),
+        }
+        _LOG.info(event, extra=extra)
 
     async def _hand_over_early(self) -> None:
         """Hand the shards over once the store is known to answer.
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -37,7 +37,7 @@
     new_request_id,
     timeout_of,
 )
-from bramleyglade_daemon.front.request_log import OK, RequestLog
+from bramleyglade_daemon.front.request_log import OK, AnswerTruncated, RequestLog
 
 if TYPE_CHECKING:
     from bramleyglade_adapters.http.server_connection import (
@@ -60,7 +60,6 @@
 _STOPPING_RETRY_SECONDS = 0.05
 """Retry delay of a request that comes during a stop; another VM can take it."""
 
-_CALLER_GONE = "caller-gone"
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """`SO_LINGER` value: on, with a timeout of zero."""
 
@@ -96,8 +95,8 @@
         except FleetError as error:
             log.note_error(error)
             await self.refuse(error, log.request_id)
-        except BaseException:
-            log.code = _CALLER_GONE
+        except BaseException as error:
+            log.note_unanswered(error)
             raise
         finally:
             hop.set_attribute("code", log.code)
@@ -344,7 +343,7 @@
         sock = self._connection.sock
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         await sock.close()
-        raise ConnectionAbortedError("the answer was truncated")
+        raise AnswerTruncated("the answer was truncated")
 
 
 def _priority(route: Route, team: Team | None) -> int:
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -222,6 +222,7 @@
         if self.stream.has_more:
             # The answer came while peers were asked for the retry.
             return await self.receive()
+        self._log_slow(wait)
         await self.stream.cancel()
         return AttemptFailed(
             ErrorCode.TARGET_SLOW,
@@ -229,6 +230,18 @@
             Verdict.MAY_HAVE_RUN,
         )
 
+    def _log_slow(self, waited_seconds: float) -> None:
+        assert self._candidate is not None
+        extra = {
+            "request": self._request.request_id,
+            "target": self._candidate.target.name,
+            "daemon": self._candidate.target.daemon,
+            "seconds": round(waited_seconds, 4),
+            "is_leaving": self._context.is_leaving,
+        }
+        _LOG.info("AttemptSlow", extra=extra)
+        self._context.telemetry.note_event("AttemptSlow")
+
     async def watch_caller(self) -> None:
         """Cancel the current attempt if the caller disconnects."""
         if self.stream is not None:
--- a/packages/daemon/src/bramleyglade_daemon/front/pipe.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/pipe.py
@@ -153,6 +153,15 @@
     async def close(self) -> None:
         """Stop reading and give up all requests whose turn has not come."""
         await self._cancel_reader()
+        if self._waiting:
+            started = sum(1 for request in self._waiting if request.task is not None)
+            extra = {
+                "count": len(self._waiting),
+                "started": started,
+                "caller_has_left": self._closed.is_set(),
+            }
+            _LOG.info("RequestsDropped", extra=extra)
+            self._context.telemetry.note_event("RequestsDropped")
         while self._waiting:
             request = self._waiting.popleft()
             if request.task is not None:
--- a/packages/daemon/src/bramleyglade_daemon/front/request_log.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request_log.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import logging
+from functools import singledispatch
 from typing import TYPE_CHECKING
 
+import curio
+
 from bramleyglade_core.model.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -64,6 +67,12 @@
         self.verdict = error.verdict
         self._fields["why"] = error.detail
 
+    def note_unanswered(self, error: BaseException) -> None:
+        """Note that the request ended without a complete answer of any kind."""
+        self.code = unanswered_code(error)
+        self._fields["why"] = str(error)
+        self._fields["error"] = type(error).__name__
+
     def write(self, seconds: float) -> None:
         """Write the log line.
 
@@ -81,3 +90,33 @@
             extra["targets"] = ",".join(self._attempts)
         event = "RequestAnswered" if self.code == OK else "RequestFailed"
         _LOG.info(event, extra=extra)
+
+
+class AnswerTruncated(ConnectionAbortedError):
+    """The connection was reset, so that a partial answer does not look complete."""
+
+
+@singledispatch
+def unanswered_code(error: BaseException) -> str:
+    """Return the code of a request that an exception ended without an answer."""
+    return "crashed"
+
+
+@unanswered_code.register
+def _(error: OSError) -> str:
+    return "caller-gone"
+
+
+@unanswered_code.register
+def _(error: AnswerTruncated) -> str:
+    return "answer-truncated"
+
+
+@unanswered_code.register
+def _(error: curio.CancelledError) -> str:
+    return "cancelled"
+
+
+@unanswered_code.register
+def _(error: curio.TaskTimeout) -> str:
+    return "timed-out"
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -11,11 +11,13 @@
 import threading
 from dataclasses import replace
 
+import curio
 import pytest
 
 from bramleyglade_adapters.logs import JsonLineFormatter
 from bramleyglade_adapters.telemetry import Telemetry, traceparent_of
 from bramleyglade_core.model.settings import TelemetrySettings
+from bramleyglade_daemon.front.request_log import AnswerTruncated, RequestLog
 
 
 @pytest.fixture
@@ -104,3 +106,21 @@
     telemetry.note_idle("catalogue", 0.1)
     assert telemetry.start_hop("front", "", is_root=True).span is None
     telemetry.shut_down()
+
+
+@pytest.mark.parametrize(
+    ("error", "code"),
+    [
+        (ConnectionResetError(), "caller-gone"),
+        (AnswerTruncated(), "answer-truncated"),
+        (curio.TaskCancelled(), "cancelled"),
+        (curio.TaskTimeout(), "timed-out"),
+        (ZeroDivisionError(), "crashed"),
+    ],
+)
+def test_log_says_why_a_request_got_no_answer(error, code, caplog):
+    log = RequestLog("r-1", 0.0)
+    log.note_unanswered(error)
+    with caplog.at_level(logging.INFO):
+        log.write(0.5)
+    assert [(r.message, r.code) for r in caplog.records] == [("RequestFailed", code)]
