--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -56,7 +56,7 @@
     ),
     Mutation(
         "not run is true: earlier attempts count",
-        f"{_DAEMON}/front/dispatcher.py",
+        f"{_DAEMON}/front/attempts.py",
         "        self._verdict = self._verdict.combined_with(failed.verdict)\n",
         "",
         "tests/test_path.py -k after_a_retry",
@@ -268,7 +268,7 @@
     ),
     Mutation(
         "an upload that is sent again is sent whole",
-        f"{_DAEMON}/front/dispatcher.py",
+        f"{_DAEMON}/front/attempts.py",
         "await self._end_upload()\n        if failed.code",
         "if failed.code",
         "tests/platform_adapter/test_uploads.py",
--- /dev/null
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -0,0 +1,430 @@
+"""The attempts of one request: which target is next, and when none is."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import curio
+
+from bramleyglade_adapters.link.link import LinkLost
+from bramleyglade_core.decisions.attempt_timeout import attempt_timeout
+from bramleyglade_core.decisions.picker import Pick, PickOptions
+from bramleyglade_core.decisions.retry_budget import may_retry
+from bramleyglade_core.model.errors import AttemptError, ErrorCode, FleetError
+from bramleyglade_core.model.exchange import (
+    AnswerEvent,
+    AnswerStarted,
+    AttemptFailed,
+    AttemptOffered,
+    BufferedAnswer,
+)
+from bramleyglade_core.model.identifiers import AttemptId
+from bramleyglade_core.model.verdict import Verdict
+
+if TYPE_CHECKING:
+    from bramleyglade_adapters.telemetry import Hop
+    from bramleyglade_core.decisions.directory import Candidate
+    from bramleyglade_core.model.identifiers import TargetId
+    from bramleyglade_core.ports.streams import AttemptPort, AttemptStream
+    from bramleyglade_daemon.front.dispatcher import Dispatcher
+    from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
+    from bramleyglade_daemon.front.request_log import RequestLog
+
+_TARGET_REFUSAL_CODES = frozenset({ErrorCode.TARGET_SHED})
+"""Refusals sent by the target itself. Any other attempt that has not run never reached
+its target, so the next attempt is not charged to the retry budget."""
+
+_MAX_UNDELIVERED = 8
+"""Attempts per request that may fail without reaching a target."""
+
+_QUEUE_AFTER_REFUSALS = 4
+"""Undelivered attempts after which a request queues at a target without a free slot."""
+
+_IGNORE_RISK_AFTER_REFUSALS = 7
+"""Undelivered attempts after which a target's risk of failure is ignored."""
+
+_TRANSIENT_CODES = frozenset({ErrorCode.TARGET_BUSY, ErrorCode.TARGET_SUSPECT})
+"""Refusals after which the request may go to the same target again."""
+
+_NO_TARGET_RETRY_SECONDS = 0.4
+"""Retry delay given to callers: in this time a report of a target or a heartbeat of
+its guard may arrive. Platform callers wait at most a third of their time left."""
+
+_ASSUMED_BODY_BYTES = 50_000
+"""Assumed size of a body without a content length; uploads average 60 KB."""
+
+_OUTCOME_RETRY_SECONDS = 0.3
+_DEADLINE_GRACE_SECONDS = 0.25
+"""Extra wait after the deadline for the guard's own report of the failure."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class Attempts:
+    """Makes the attempts of one request, one after another."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        request: AdmittedRequest,
+        feeder: BodyFeeder,
+        hop: Hop,
+        log: RequestLog,
+        number: int,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._context = dispatcher.context
+        self._request = request
+        self._feeder = feeder
+        self._hop = hop
+        self._log = log
+        self._number = number
+        self._count = 0
+        self._undelivered = 0
+        self._is_retry_charged = False
+        self._is_given_up = False
+        self._verdict = Verdict.NOT_RUN
+        """Combined verdict of all attempts so far."""
+        self._tried: set[TargetId] = set()
+        self._candidate: Candidate | None = None
+        self._upload: curio.Task | None = None
+        self._offered: AttemptOffered | None = None
+        self._port: AttemptPort | None = None
+        self.stream: AttemptStream | None = None
+        """Stream of the current attempt."""
+        self.fallback_answer: BufferedAnswer | None = None
+        """A target's error answer, sent to the caller if no retry succeeds."""
+
+    async def next_attempt(self) -> None:
+        """Offer the request to another target.
+
+        Raises:
+            AttemptError: If no target is left or the guard can't be reached.
+        """
+        pick = self._pick()
+        candidate = pick.candidate
+        self._candidate = candidate
+        self._tried.add(candidate.target)
+        self._context.picker.note_sent(candidate.target)
+        self._log.note_attempt(candidate.target)
+        self._offered = self._make_offer(pick)
+        self._port = self._dispatcher.port(candidate)
+        self._count += 1
+        try:
+            self.stream = await self._port.offer(self._offered)
+        except LinkLost as error:
+            self.stream = None
+            self._context.picker.note_ended(candidate.target)
+            self._note_unreachable()
+            raise AttemptError(error.code, error.detail, Verdict.NOT_RUN) from None
+        if self._request.head.has_body:
+            self._upload = await curio.spawn(self._feed, self.stream, daemon=True)
+
+    async def receive(self) -> AnswerEvent:
+        """Wait for the next part of the current attempt's answer."""
+        assert self.stream is not None
+        if self.stream.has_more:
+            return await self.stream.receive()
+        timeout_seconds = (
+            self._request.deadline + _DEADLINE_GRACE_SECONDS - self._context.clock()
+        )
+        try:
+            async with curio.timeout_after(max(0.0, timeout_seconds)):
+                return await self.stream.receive()
+        except curio.TaskTimeout:
+            await self.stream.cancel()
+            return AttemptFailed(
+                ErrorCode.DEADLINE_EXCEEDED,
+                "the deadline passed",
+                Verdict.MAY_HAVE_RUN,
+            )
+
+    async def receive_with_timeout(self) -> AnswerEvent:
+        """Wait for the answer's head, with a timeout for idempotent requests.
+
+        The attempt is cancelled if the target takes much longer than is typical
+        for its service, the budget has a retry and another target is left. A leaving
+        daemon waits: what it breaks off, it may not be able to place again.
+        """
+        wait = self._attempt_timeout()
+        if wait is None:
+            return await self.receive()
+        event = await curio.ignore_after(wait, self.receive)
+        if event is not None:
+            return event
+        if self._context.is_leaving or not self._has_other_target():
+            return await self.receive()
+        if not await self._try_spend_retry(Verdict.MAY_HAVE_RUN):
+            return await self.receive()
+        self._is_retry_charged = True
+        assert self.stream is not None
+        if self.stream.has_more:
+            # The answer came while peers were asked for the retry.
+            return await self.receive()
+        self._log_slow(wait)
+        await self.stream.cancel()
+        return AttemptFailed(
+            ErrorCode.TARGET_SLOW,
+            "the target did not answer in time",
+            Verdict.MAY_HAVE_RUN,
+        )
+
+    def _log_slow(self, waited_seconds: float) -> None:
+        assert self._candidate is not None
+        extra = {
+            "request": self._request.request_id,
+            "target": self._candidate.target.name,
+            "daemon": self._candidate.target.daemon,
+            "seconds": round(waited_seconds, 4),
+            "is_leaving": self._context.is_leaving,
+        }
+        _LOG.info("AttemptSlow", extra=extra)
+        self._context.telemetry.note_event("AttemptSlow")
+
+    async def watch_caller(self) -> None:
+        """Cancel the current attempt if the caller disconnects."""
+        if self.stream is not None:
+            await self._feeder.watch_caller(self.stream)
+
+    def note_answer(self, started: AnswerStarted) -> None:
+        """Record that the target has answered, and stop avoiding it."""
+        self._log.note_status(started.status)
+        if self._candidate is None:
+            return
+        target = self._candidate.target
+        self._context.picker.clear_avoidance(target)
+        classification = self._context.dialect.classify_answer(
+            started, self._request.request_id
+        )
+        if classification.is_leaving:
+            # Its guard knows it too, but may restart and forget it.
+            self._context.directory.note_target_leaving(target.daemon, target.name)
+
+    async def resolve_outcome(self, failed: AttemptFailed) -> AttemptFailed | None:
+        """Ask the guard for the outcome of an attempt whose link was lost.
+
+        Args:
+            failed: How the attempt ended.
+
+        Returns:
+            The failure if the guard was not asked, can't be reached or has restarted;
+            None if it reports the outcome on a new stream.
+        """
+        is_lost = failed.code is ErrorCode.PEER_LOST
+        if not is_lost or failed.verdict is not Verdict.MAY_HAVE_RUN:
+            return failed
+        if self._request.is_idempotent or self.stream is None:
+            return failed
+        await self._end_upload()
+        while self._context.clock() < self._request.deadline:
+            try:
+                self.stream = await self._ask_outcome()
+                return None
+            except LinkLost:
+                await curio.sleep(_OUTCOME_RETRY_SECONDS)
+            except AttemptError:
+                break
+        return failed
+
+    async def give_up(self) -> None:
+        """Fail the current attempt, as this daemon ends before the target answers."""
+        if self.stream is None:
+            return
+        stream = self.stream
+        self._is_given_up = True
+        await stream.cancel()
+        await stream.deliver(
+            AttemptFailed(
+                ErrorCode.DAEMON_STOPPING,
+                "this VM's daemon ended before the target answered",
+                Verdict.MAY_HAVE_RUN,
+            )
+        )
+
+    async def end(self) -> None:
+        """End the current attempt; does nothing if it has already ended."""
+        if self._candidate is not None and self.stream is not None:
+            self._context.picker.note_ended(self._candidate.target)
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            await stream.cancel()
+        await self._end_upload()
+
+    async def check_retry(self, failed: AttemptFailed) -> None:
+        """Check that another attempt is safe and within the limits.
+
+        The attempt's upload ends first: while the budget is asked, it could read on
+        past what is kept of the body to be sent again.
+
+        Args:
+            failed: How the last attempt ended.
+
+        Raises:
+            AttemptError: If the failure must go to the caller instead.
+        """
+        await self._end_upload()
+        if failed.code is ErrorCode.PEER_LOST:
+            self._note_unreachable()
+        if failed.code is ErrorCode.TARGET_EJECTED and self._candidate is not None:
+            self._context.picker.mark_ejected(self._candidate.target)
+        if failed.code in _TRANSIENT_CODES and self._candidate is not None:
+            self._tried.discard(self._candidate.target)
+        self._verdict = self._verdict.combined_with(failed.verdict)
+        if not await self._may_retry(failed):
+            raise AttemptError(
+                failed.code, failed.detail, self._verdict, failed.retry_after
+            )
+        self._hop.set_attribute("retry.after", failed.code.value)
+
+    async def _may_retry(self, failed: AttemptFailed) -> bool:
+        if not self._may_send_again(failed):
+            return False
+        if (
+            failed.verdict is Verdict.NOT_RUN
+            and failed.code not in _TARGET_REFUSAL_CODES
+        ):
+            self._undelivered += 1
+            return self._undelivered <= _MAX_UNDELIVERED
+        if self._count - self._undelivered >= self._max_attempts:
+            return False
+        is_charged, self._is_retry_charged = self._is_retry_charged, False
+        if is_charged:
+            return True
+        is_allowed = await self._try_spend_retry(failed.verdict)
+        # Asking peers for a retry takes time, in which the request may be given up.
+        return is_allowed and self._may_send_again(failed)
+
+    def _may_send_again(self, failed: AttemptFailed) -> bool:
+        if self._is_given_up or self._context.clock() >= self._request.deadline:
+            return False
+        is_idempotent = self._request.is_idempotent
+        return may_retry(failed.verdict, is_idempotent, self._feeder.is_consumed)
+
+    async def _try_spend_retry(self, verdict: Verdict) -> bool:
+        return await self._dispatcher.try_spend_retry(self._request, verdict)
+
+    def _attempt_timeout(self) -> float | None:
+        """Return this attempt's timeout in seconds; None if it has none."""
+        # The current attempt is already counted.
+        is_last = self._count - self._undelivered >= self._max_attempts
+        if not self._request.is_idempotent or self._feeder.is_consumed or is_last:
+            return None
+        candidates = self._dispatcher.candidates(self._request)
+        typical = self._context.picker.typical_seconds(candidates)
+        remaining_seconds = self._request.deadline - self._context.clock()
+        return attempt_timeout(remaining_seconds, typical)
+
+    @property
+    def _is_last(self) -> bool:
+        """Whether the attempt being picked is the last one allowed."""
+        return self._count - self._undelivered + 1 >= self._max_attempts
+
+    @property
+    def _max_attempts(self) -> int:
+        configured = self._request.route.max_attempts
+        return configured or self._context.settings.front.max_attempts
+
+    def _has_other_target(self) -> bool:
+        candidates = self._dispatcher.candidates(self._request)
+        return any(c.target not in self._tried for c in candidates)
+
+    def _pick(self) -> Pick:
+        candidates = self._dispatcher.candidates(self._request)
+        stated = self._request.head.content_length
+        is_retryable = self._request.is_idempotent and not self._is_last
+        options = PickOptions(
+            now=self._context.clock(),
+            is_retryable=is_retryable,
+            may_probe=is_retryable and self._count == 0,
+            body_bytes=_ASSUMED_BODY_BYTES if stated is None else stated,
+        )
+        self._dispatcher.refresh_local_views()
+        pick = self._context.picker.pick(candidates, self._tried, options)
+        if pick is None:
+            raise AttemptError(
+                ErrorCode.NO_TARGET,
+                "no target can take the request",
+                self._verdict,
+                retry_after=_NO_TARGET_RETRY_SECONDS,
+            )
+        return pick
+
+    def _make_offer(self, pick: Pick) -> AttemptOffered:
+        request = self._request
+        candidate = pick.candidate
+        return AttemptOffered(
+            attempt=AttemptId(self._context.daemon, self._number, self._count),
+            target=candidate.target.name,
+            service=request.service.name,
+            team=request.team,
+            method=request.head.method,
+            path=request.head.target,
+            headers=request.headers,
+            deadline_seconds=max(0.0, request.deadline - self._context.clock()),
+            is_idempotent=request.is_idempotent,
+            has_body=request.head.has_body,
+            traceparent=self._hop.traceparent,
+            request_id=request.request_id,
+            priority=request.priority,
+            must_start_now=pick.is_free and self._undelivered < _QUEUE_AFTER_REFUSALS,
+            most_risk=pick.most_risk
+            if self._undelivered < _IGNORE_RISK_AFTER_REFUSALS
+            else 1.0,
+            is_for_due=pick.is_for_due,
+            objective_seconds=self._objective_left(),
+            sent_at=self._context.clock(),
+        )
+
+    def _objective_left(self) -> float | None:
+        """Return the seconds left in the latency objective; None without one."""
+        request = self._request
+        if request.route.objective_seconds is None:
+            return None
+        end = request.arrived_at + request.route.objective_seconds
+        return max(0.0, end - self._context.clock())
+
+    async def _ask_outcome(self) -> AttemptStream:
+        assert self._port is not None
+        assert self._offered is not None
+        remaining_seconds = self._request.deadline - self._context.clock()
+        offered = replace(
+            self._offered, headers=(), deadline_seconds=max(0.0, remaining_seconds)
+        )
+        return await self._port.ask_outcome(offered)
+
+    async def _feed(self, stream: AttemptStream) -> None:
+        try:
+            await self._feeder.feed(stream)
+            await self._feeder.watch_caller(stream)
+        except (FleetError, OSError) as error:
+            if self._feeder.error is not None:
+                await stream.cancel()
+                await stream.deliver(_upload_failed(error))
+
+    async def _end_upload(self) -> None:
+        upload, self._upload = self._upload, None
+        if upload is not None:
+            await upload.cancel()
+
+    def _note_unreachable(self) -> None:
+        if self._candidate is not None:
+            size = len(self._dispatcher.candidates(self._request))
+            now = self._context.clock()
+            target = self._candidate.target
+            seconds = self._context.picker.avoid(target, size, now)
+            extra = {
+                "request": self._request.request_id,
+                "target": target.name,
+                "daemon": target.daemon,
+                "seconds": seconds,
+            }
+            _LOG.info("TargetAvoided", extra=extra)
+
+
+def _upload_failed(error: FleetError | OSError) -> AttemptFailed:
+    code = ErrorCode.ATTEMPT_CANCELLED
+    if isinstance(error, FleetError) and error.code is ErrorCode.BODY_TOO_LARGE:
+        code = error.code
+    return AttemptFailed(code, str(error), Verdict.MAY_HAVE_RUN)
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -47,8 +47,8 @@
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.model.entities import Route, Team
     from bramleyglade_core.ports.dialect import CallerMetadata
+    from bramleyglade_daemon.front.attempts import Attempts
     from bramleyglade_daemon.front.caller_task import Front
-    from bramleyglade_daemon.front.dispatcher import Attempts
     from bramleyglade_daemon.front.pipe import Pipe
 
 _SHORT_WAIT_SECONDS = 0.05
