Keep a slow attempt open until another target has answered

What callers saw: idempotent requests answered 502 no-target, may-have-run, although a target was at work on them; around a planned stop that is LOST. Cause: an attempt was cancelled once it was slow, before any other target had accepted the request; the check for a stop stood before a wait of up to 0.15 s for a loan. Why the fix works: nothing is cancelled any more until another target's answer is there. If no other target accepts the request, or it fails there, the slow attempt is waited for again; a stop that begins meanwhile finds it open. Retries, attempts and charges are counted as before. Ruled out: a second look at the stop after the wait alone, which leaves the 502 that follow a cancel just before SIGTERM. Price: the slow target keeps its slot while the other one works.

--- a/packages/core/src/bramleyglade_core/ports/streams.py
+++ b/packages/core/src/bramleyglade_core/ports/streams.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    import curio
+
     from bramleyglade_core.model.exchange import AnswerEvent, AttemptOffered
 
 
@@ -15,6 +17,9 @@
     def has_more(self) -> bool:
         """Whether another part of the answer has already been received."""
 
+    def notify(self, arrived: curio.Event) -> None:
+        """Set an event whenever a part of the answer arrives from now on."""
+
     async def wait_for_body_credit(self) -> None:
         """Wait until the guard has started the exchange and grants credit.
 
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -22,12 +22,16 @@
 )
 from bramleyglade_core.model.identifiers import AttemptId
 from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_daemon.front.open_attempts import OpenAttempt, OpenAttempts
+from bramleyglade_daemon.front.request import caller_left
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.directory import Candidate
     from bramleyglade_core.model.identifiers import TargetId
-    from bramleyglade_core.ports.streams import AttemptPort, AttemptStream
+    from bramleyglade_core.ports.streams import AttemptStream
     from bramleyglade_daemon.front.dispatcher import Dispatcher
     from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
     from bramleyglade_daemon.front.request_log import RequestLog
@@ -63,7 +67,11 @@
 
 
 class Attempts:
-    """Makes the attempts of one request, one after another."""
+    """Makes the attempts of one request, one after another.
+
+    A target that is slow with an idempotent request keeps it while another one is
+    tried, and the first answer counts.
+    """
 
     def __init__(
         self,
@@ -85,115 +93,137 @@
         self._undelivered = 0
         self._is_retry_charged = False
         self._is_given_up = False
+        self._must_go_back = False
+        """Whether no attempt may follow, and those that are open are waited for."""
         self._verdict = Verdict.NOT_RUN
         """Combined verdict of all attempts so far."""
         self._tried: set[TargetId] = set()
         self._candidate: Candidate | None = None
+        """Target of the attempt that was made last."""
         self._upload: curio.Task | None = None
-        self._offered: AttemptOffered | None = None
-        self._port: AttemptPort | None = None
-        self.stream: AttemptStream | None = None
-        """Stream of the current attempt."""
+        self._open = OpenAttempts(self._context.picker)
         self.fallback_answer: BufferedAnswer | None = None
         """A target's error answer, sent to the caller if no retry succeeds."""
 
+    @property
+    def stream(self) -> AttemptStream | None:
+        """Stream of the attempt whose answer is received."""
+        current = self._open.current
+        return None if current is None else current.stream
+
     async def next_attempt(self) -> None:
-        """Offer the request to another target.
+        """Offer the request to another target, or go back to one that is slow.
 
         Raises:
             AttemptError: If no target is left or the guard can't be reached.
         """
-        pick = self._pick()
+        pick = None if self._must_go_back else self._pick()
+        if pick is None:
+            self._go_back()
+            return
         candidate = pick.candidate
         self._candidate = candidate
         self._tried.add(candidate.target)
         self._context.picker.note_sent(candidate.target)
         self._log.note_attempt(candidate.target)
-        self._offered = self._make_offer(pick)
-        self._port = self._dispatcher.port(candidate)
+        offered = self._make_offer(pick)
+        port = self._dispatcher.port(candidate)
         self._count += 1
         try:
-            self.stream = await self._port.offer(self._offered)
+            stream = await port.offer(offered)
         except LinkLost as error:
-            self.stream = None
             self._context.picker.note_ended(candidate.target)
-            self._note_unreachable()
+            self._note_unreachable(candidate.target)
             raise AttemptError(error.code, error.detail, Verdict.NOT_RUN) from None
+        self._open.add(OpenAttempt(candidate, offered, port, stream))
         if self._request.head.has_body:
-            self._upload = await curio.spawn(self._feed, self.stream, daemon=True)
+            self._upload = await curio.spawn(self._feed, stream, daemon=True)
 
     async def receive(self) -> AnswerEvent:
         """Wait for the next part of the current attempt's answer."""
         assert self.stream is not None
         if self.stream.has_more:
             return await self.stream.receive()
-        timeout_seconds = (
-            self._request.deadline + _DEADLINE_GRACE_SECONDS - self._context.clock()
-        )
+        return await self._receive_in_time(self.stream.receive)
+
+    async def receive_head(self) -> AnswerEvent:
+        """Wait for the head of an answer, with a timeout for idempotent requests.
+
+        If the target takes much longer than is typical for its service, the budget has
+        a retry and another target is left, the request is sent to that one too.
+
+        Returns:
+            The head of the first answer, or the failure of the newest attempt.
+        """
+        wait = self._attempt_timeout()
+        if wait is not None:
+            event = await self.receive_soon(wait)
+            if event is not None:
+                return event
+            if await self._may_try_another():
+                self._log_slow()
+                return AttemptFailed(
+                    ErrorCode.TARGET_SLOW,
+                    "the target did not answer in time",
+                    Verdict.MAY_HAVE_RUN,
+                )
+        return await self._receive_in_time(self._open.receive_first)
+
+    async def receive_soon(self, seconds: float) -> AnswerEvent | None:
+        """Wait for the head of an answer; None if it takes longer than `seconds`."""
+        return await curio.ignore_after(seconds, self._open.receive_first)
+
+    async def _receive_in_time(
+        self, receive: Callable[[], Awaitable[AnswerEvent]]
+    ) -> AnswerEvent:
+        end = self._request.deadline + _DEADLINE_GRACE_SECONDS
         try:
-            async with curio.timeout_after(max(0.0, timeout_seconds)):
-                return await self.stream.receive()
+            async with curio.timeout_after(max(0.0, end - self._context.clock())):
+                return await receive()
         except curio.TaskTimeout:
-            await self.stream.cancel()
+            await self._open.end_all()
             return AttemptFailed(
                 ErrorCode.DEADLINE_EXCEEDED,
                 "the deadline passed",
                 Verdict.MAY_HAVE_RUN,
             )
 
-    async def receive_with_timeout(self) -> AnswerEvent:
-        """Wait for the answer's head, with a timeout for idempotent requests.
-
-        The attempt is cancelled if the target takes much longer than is typical
-        for its service, the budget has a retry and another target is left. A leaving
-        daemon waits: what it breaks off, it may not be able to place again.
-        """
-        wait = self._attempt_timeout()
-        if wait is None:
-            return await self.receive()
-        event = await curio.ignore_after(wait, self.receive)
-        if event is not None:
-            return event
+    async def _may_try_another(self) -> bool:
+        """Spend a retry beside a slow attempt, if that may help."""
         if self._context.is_leaving or not self._has_other_target():
-            return await self.receive()
+            return False
         if not await self._try_spend_retry(Verdict.MAY_HAVE_RUN):
-            return await self.receive()
+            return False
         self._is_retry_charged = True
-        assert self.stream is not None
-        if self.stream.has_more:
-            # The answer came while peers were asked for the retry.
-            return await self.receive()
-        self._log_slow(wait)
-        await self.stream.cancel()
-        return AttemptFailed(
-            ErrorCode.TARGET_SLOW,
-            "the target did not answer in time",
-            Verdict.MAY_HAVE_RUN,
-        )
+        # Asking peers takes time, in which the answer may come or a stop begin.
+        has_answer = self.stream is None or self.stream.has_more
+        return not has_answer and not self._context.is_leaving
 
-    def _log_slow(self, waited_seconds: float) -> None:
-        assert self._candidate is not None
+    def _log_slow(self) -> None:
+        assert self._open.current is not None
+        target = self._open.current.candidate.target
         extra = {
             "request": self._request.request_id,
-            "target": self._candidate.target.name,
-            "daemon": self._candidate.target.daemon,
-            "seconds": round(waited_seconds, 4),
-            "is_leaving": self._context.is_leaving,
+            "target": target.name,
+            "daemon": target.daemon,
+            "remaining_seconds": round(
+                self._request.deadline - self._context.clock(), 4
+            ),
         }
         _LOG.info("AttemptSlow", extra=extra)
         self._context.telemetry.note_event("AttemptSlow")
 
     async def watch_caller(self) -> None:
-        """Cancel the current attempt if the caller disconnects."""
-        if self.stream is not None:
-            await self._feeder.watch_caller(self.stream)
+        """Cancel the open attempts if the caller disconnects."""
+        await self._feeder.wait_until_caller_left()
+        await self._open.fail_all(caller_left())
 
     def note_answer(self, started: AnswerStarted) -> None:
         """Record that the target has answered, and stop avoiding it."""
         self._log.note_status(started.status)
-        if self._candidate is None:
+        if self._open.current is None:
             return
-        target = self._candidate.target
+        target = self._open.current.candidate.target
         self._context.picker.clear_avoidance(target)
         classification = self._context.dialect.classify_answer(
             started, self._request.request_id
@@ -215,12 +245,13 @@
         is_lost = failed.code is ErrorCode.PEER_LOST
         if not is_lost or failed.verdict is not Verdict.MAY_HAVE_RUN:
             return failed
-        if self._request.is_idempotent or self.stream is None:
+        if self._request.is_idempotent or self._open.current is None:
             return failed
         await self._end_upload()
         while self._context.clock() < self._request.deadline:
             try:
-                self.stream = await self._ask_outcome()
+                stream = await self._ask_outcome(self._open.current)
+                self._open.replace_stream(stream)
                 return None
             except LinkLost:
                 await curio.sleep(_OUTCOME_RETRY_SECONDS)
@@ -229,13 +260,9 @@
         return failed
 
     async def give_up(self) -> None:
-        """Fail the current attempt, as this daemon ends before the target answers."""
-        if self.stream is None:
-            return
-        stream = self.stream
+        """Fail all attempts, as this daemon ends before a target answers."""
         self._is_given_up = True
-        await stream.cancel()
-        await stream.deliver(
+        await self._open.fail_all(
             AttemptFailed(
                 ErrorCode.DAEMON_STOPPING,
                 "this VM's daemon ended before the target answered",
@@ -244,19 +271,16 @@
         )
 
     async def end(self) -> None:
-        """End the current attempt; does nothing if it has already ended."""
-        if self._candidate is not None and self.stream is not None:
-            self._context.picker.note_ended(self._candidate.target)
-        stream, self.stream = self.stream, None
-        if stream is not None:
-            await stream.cancel()
+        """End all attempts; does nothing if they have already ended."""
+        await self._open.end_all()
         await self._end_upload()
 
-    async def check_retry(self, failed: AttemptFailed) -> None:
+    async def prepare_retry(self, failed: AttemptFailed) -> None:
         """Check that another attempt is safe and within the limits.
 
         The attempt's upload ends first: while the budget is asked, it could read on
-        past what is kept of the body to be sent again.
+        past what is kept of the body to be sent again. An attempt that is only slow
+        stays open.
 
         Args:
             failed: How the last attempt ended.
@@ -265,18 +289,53 @@
             AttemptError: If the failure must go to the caller instead.
         """
         await self._end_upload()
-        if failed.code is ErrorCode.PEER_LOST:
-            self._note_unreachable()
-        if failed.code is ErrorCode.TARGET_EJECTED and self._candidate is not None:
-            self._context.picker.mark_ejected(self._candidate.target)
-        if failed.code in _TRANSIENT_CODES and self._candidate is not None:
-            self._tried.discard(self._candidate.target)
+        self._note_failure(failed)
         self._verdict = self._verdict.combined_with(failed.verdict)
-        if not await self._may_retry(failed):
+        if failed.code is ErrorCode.TARGET_SLOW:
+            self._open.set_aside()
+        else:
+            await self._open.end_current()
+        if await self._may_retry(failed):
+            self._hop.set_attribute("retry.after", failed.code.value)
+        elif self._may_go_back:
+            self._must_go_back = True
+        else:
             raise AttemptError(
                 failed.code, failed.detail, self._verdict, failed.retry_after
             )
-        self._hop.set_attribute("retry.after", failed.code.value)
+
+    def _note_failure(self, failed: AttemptFailed) -> None:
+        current = self._open.current
+        candidate = self._candidate if current is None else current.candidate
+        if candidate is None:
+            return
+        target = candidate.target
+        if failed.code is ErrorCode.PEER_LOST:
+            self._note_unreachable(target)
+        if failed.code is ErrorCode.TARGET_EJECTED:
+            self._context.picker.mark_ejected(target)
+        if failed.code in _TRANSIENT_CODES:
+            self._tried.discard(target)
+
+    @property
+    def _may_go_back(self) -> bool:
+        return self._open.has_others and not self._is_given_up
+
+    def _go_back(self) -> None:
+        """Wait for the attempts that are open, as no other can be made.
+
+        Raises:
+            AttemptError: If there is none.
+        """
+        if not self._may_go_back:
+            raise AttemptError(
+                ErrorCode.NO_TARGET,
+                "no target can take the request",
+                self._verdict,
+                retry_after=_NO_TARGET_RETRY_SECONDS,
+            )
+        self._must_go_back = True
+        self._open.go_back()
 
     async def _may_retry(self, failed: AttemptFailed) -> bool:
         if not self._may_send_again(failed):
@@ -309,7 +368,9 @@
         """Return this attempt's timeout in seconds; None if it has none."""
         # The current attempt is already counted.
         is_last = self._count - self._undelivered >= self._max_attempts
-        if not self._request.is_idempotent or self._feeder.is_consumed or is_last:
+        if self._must_go_back or not self._request.is_idempotent:
+            return None
+        if self._feeder.is_consumed or is_last:
             return None
         candidates = self._dispatcher.candidates(self._request)
         typical = self._context.picker.typical_seconds(candidates)
@@ -330,7 +391,7 @@
         candidates = self._dispatcher.candidates(self._request)
         return any(c.target not in self._tried for c in candidates)
 
-    def _pick(self) -> Pick:
+    def _pick(self) -> Pick | None:
         candidates = self._dispatcher.candidates(self._request)
         stated = self._request.head.content_length
         is_retryable = self._request.is_idempotent and not self._is_last
@@ -341,15 +402,7 @@
             body_bytes=_ASSUMED_BODY_BYTES if stated is None else stated,
         )
         self._dispatcher.refresh_local_views()
-        pick = self._context.picker.pick(candidates, self._tried, options)
-        if pick is None:
-            raise AttemptError(
-                ErrorCode.NO_TARGET,
-                "no target can take the request",
-                self._verdict,
-                retry_after=_NO_TARGET_RETRY_SECONDS,
-            )
-        return pick
+        return self._context.picker.pick(candidates, self._tried, options)
 
     def _make_offer(self, pick: Pick) -> AttemptOffered:
         request = self._request
@@ -385,14 +438,12 @@
         end = request.arrived_at + request.route.objective_seconds
         return max(0.0, end - self._context.clock())
 
-    async def _ask_outcome(self) -> AttemptStream:
-        assert self._port is not None
-        assert self._offered is not None
+    async def _ask_outcome(self, attempt: OpenAttempt) -> AttemptStream:
         remaining_seconds = self._request.deadline - self._context.clock()
         offered = replace(
-            self._offered, headers=(), deadline_seconds=max(0.0, remaining_seconds)
+            attempt.offered, headers=(), deadline_seconds=max(0.0, remaining_seconds)
         )
-        return await self._port.ask_outcome(offered)
+        return await attempt.port.ask_outcome(offered)
 
     async def _feed(self, stream: AttemptStream) -> None:
         try:
@@ -408,19 +459,16 @@
         if upload is not None:
             await upload.cancel()
 
-    def _note_unreachable(self) -> None:
-        if self._candidate is not None:
-            size = len(self._dispatcher.candidates(self._request))
-            now = self._context.clock()
-            target = self._candidate.target
-            seconds = self._context.picker.avoid(target, size, now)
-            extra = {
-                "request": self._request.request_id,
-                "target": target.name,
-                "daemon": target.daemon,
-                "seconds": seconds,
-            }
-            _LOG.info("TargetAvoided", extra=extra)
+    def _note_unreachable(self, target: TargetId) -> None:
+        size = len(self._dispatcher.candidates(self._request))
+        seconds = self._context.picker.avoid(target, size, self._context.clock())
+        extra = {
+            "request": self._request.request_id,
+            "target": target.name,
+            "daemon": target.daemon,
+            "seconds": seconds,
+        }
+        _LOG.info("TargetAvoided", extra=extra)
 
 
 def _upload_failed(error: FleetError | OSError) -> AttemptFailed:
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -178,8 +178,7 @@
                 failed = await self._try_once(attempts, request)
                 if failed is None:
                     return
-                await attempts.check_retry(failed)
-                await attempts.end()
+                await attempts.prepare_retry(failed)
         except AttemptError:
             if attempts.fallback_answer is None:
                 raise
@@ -280,12 +279,12 @@
     ) -> AnswerEvent:
         if request.head.has_body:
             return await attempts.receive()
-        event = await self._try_receive(attempts)
+        event = await attempts.receive_soon(_SHORT_WAIT_SECONDS)
         if event is not None:
             return event
         watcher = await curio.spawn(attempts.watch_caller)
         try:
-            return await attempts.receive_with_timeout()
+            return await attempts.receive_head()
         finally:
             await watcher.cancel()
 
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -83,6 +83,13 @@
         )
 
 
+def caller_left() -> AttemptFailed:
+    """Return the failure of an attempt whose caller has disconnected."""
+    return AttemptFailed(
+        ErrorCode.ATTEMPT_CANCELLED, "the caller disconnected", Verdict.MAY_HAVE_RUN
+    )
+
+
 class BodyFeeder:
     """Feeds the caller's body to attempts; a small one can be sent again."""
 
@@ -147,14 +154,13 @@
 
     async def watch_caller(self, stream: AttemptStream) -> None:
         """Cancel an attempt if its caller disconnects while it waits."""
-        await self._pipe.wait_closed()
+        await self.wait_until_caller_left()
         await stream.cancel()
-        failed = AttemptFailed(
-            ErrorCode.ATTEMPT_CANCELLED,
-            "the caller disconnected",
-            Verdict.MAY_HAVE_RUN,
-        )
-        await stream.deliver(failed)
+        await stream.deliver(caller_left())
+
+    async def wait_until_caller_left(self) -> None:
+        """Wait until the caller disconnects."""
+        await self._pipe.wait_closed()
 
     async def _read(self) -> bytes | None:
         must_send_continue = self._connection.expects_continue
--- a/packages/daemon/src/bramleyglade_daemon/streams.py
+++ b/packages/daemon/src/bramleyglade_daemon/streams.py
@@ -159,6 +159,7 @@
         self._uncredited_bytes = 0
         self.body_credit = SendCredit(0)
         self._has_ended = False
+        self._arrived: curio.Event | None = None
 
     def bind(self, sender: Sender) -> None:
         """Set the sender once the stream has its number."""
@@ -169,6 +170,10 @@
         """Whether the next part of the answer has already arrived."""
         return not self._events.empty()
 
+    def notify(self, arrived: curio.Event) -> None:
+        """Set an event whenever a part of the answer arrives from now on."""
+        self._arrived = arrived
+
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the request's body; waits while the guard is slow."""
         await self.body_credit.consume(len(data))
@@ -212,6 +217,8 @@
         if isinstance(message, (AnswerEnded, AttemptFailed)):
             await self.body_credit.close()
         await self._events.put(message)
+        if self._arrived is not None:
+            await self._arrived.set()
 
     async def handle_link_loss(self) -> None:
         """End the answer with a failure, as the link is lost."""
