Send no request again whose caller has left

What the fleet did: an idempotent request of a caller that had left was offered to the next target, up to the route's attempts, and each was charged as a retry (GONE, BUDGET). Cause: the disconnect was reported as a failed attempt like any other, and idempotent requests are retried after those. The feeder now knows that the caller has left, and no attempt follows.

--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -319,7 +319,14 @@
 
     @property
     def _may_go_back(self) -> bool:
-        return self._open.has_others and not self._is_given_up
+        return self._open.has_others and not self._is_over
+
+    @property
+    def _is_over(self) -> bool:
+        """Whether no answer can reach the caller any more."""
+        if self._is_given_up or self._feeder.has_caller_left:
+            return True
+        return self._context.clock() >= self._request.deadline
 
     def _go_back(self) -> None:
         """Wait for the attempts that are open, as no other can be made.
@@ -356,7 +363,7 @@
         return is_allowed and self._may_send_again(failed)
 
     def _may_send_again(self, failed: AttemptFailed) -> bool:
-        if self._is_given_up or self._context.clock() >= self._request.deadline:
+        if self._is_over:
             return False
         is_idempotent = self._request.is_idempotent
         return may_retry(failed.verdict, is_idempotent, self._feeder.is_consumed)
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -105,6 +105,8 @@
         self._is_complete = False
         self.is_consumed = False
         """Whether bytes were read that can't be sent again."""
+        self.has_caller_left = False
+        """Whether the caller was seen to disconnect."""
         self.error: BadRequest | OSError | None = None
         """Error while reading from the caller, if any."""
 
@@ -161,6 +163,7 @@
     async def wait_until_caller_left(self) -> None:
         """Wait until the caller disconnects."""
         await self._pipe.wait_closed()
+        self.has_caller_left = True
 
     async def _read(self) -> bytes | None:
         must_send_continue = self._connection.expects_continue
--- a/tests/test_slow_attempts.py
+++ b/tests/test_slow_attempts.py
@@ -159,3 +159,15 @@
         assert len(held.arrived) == 2
 
     run_fleet(scenario)
+
+
+def test_request_of_a_caller_that_has_left_is_not_sent_again(run_fleet):
+
+    async def scenario(fleet):
+        held, call = await start_call(fleet)
+        await call.cancel()
+        await fleet.wait_until(lambda: not any(d.guard.busy for d in fleet.daemons))
+        await fleet.wait_until(lambda: not fleet.daemons[0].front.busy)
+        assert len(held.arrived) == 1
+
+    run_fleet(scenario)
