Give up a request at the end of a stop whatever it waits for

What callers saw: a request that was still unanswered at the end of the grace got 502 only if it waited for a target's answer. While it asked for the outcome of an attempt whose guard was gone, or waited for a link, its connection ended with the process and without an answer (LOST). Cause: giving up was a message to the stream of the current attempt, which nothing reads between two attempts. Why the fix works: the task that serves the request is cancelled, so that each of its waits ends, and answers 502, or 503 if nothing was sent; a cancellation that comes too late is discarded there and reaches no later wait. An answer that is being written goes on.

--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -92,7 +92,8 @@
         self._count = 0
         self._undelivered = 0
         self._is_retry_charged = False
-        self._is_given_up = False
+        self._is_unsettled = False
+        """Whether an attempt was made whose outcome is not in the verdict yet."""
         self._must_go_back = False
         """Whether no attempt may follow, and those that are open are waited for."""
         self._verdict = Verdict.NOT_RUN
@@ -111,6 +112,13 @@
         current = self._open.current
         return None if current is None else current.stream
 
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the request may have run, by all attempts up to now."""
+        if self._is_unsettled:
+            return self._verdict.combined_with(Verdict.MAY_HAVE_RUN)
+        return self._verdict
+
     async def next_attempt(self) -> None:
         """Offer the request to another target, or go back to one that is slow.
 
@@ -129,6 +137,7 @@
         offered = self._make_offer(pick)
         port = self._dispatcher.port(candidate)
         self._count += 1
+        self._is_unsettled = True
         try:
             stream = await port.offer(offered)
         except LinkLost as error:
@@ -259,17 +268,6 @@
                 break
         return failed
 
-    async def give_up(self) -> None:
-        """Fail all attempts, as this daemon ends before a target answers."""
-        self._is_given_up = True
-        await self._open.fail_all(
-            AttemptFailed(
-                ErrorCode.DAEMON_STOPPING,
-                "this VM's daemon ended before the target answered",
-                Verdict.MAY_HAVE_RUN,
-            )
-        )
-
     async def end(self) -> None:
         """End all attempts; does nothing if they have already ended."""
         await self._open.end_all()
@@ -291,6 +289,7 @@
         await self._end_upload()
         self._note_failure(failed)
         self._verdict = self._verdict.combined_with(failed.verdict)
+        self._is_unsettled = False
         if failed.code is ErrorCode.TARGET_SLOW:
             self._open.set_aside()
         else:
@@ -324,9 +323,8 @@
     @property
     def _is_over(self) -> bool:
         """Whether no answer can reach the caller any more."""
-        if self._is_given_up or self._feeder.has_caller_left:
-            return True
-        return self._context.clock() >= self._request.deadline
+        is_late = self._context.clock() >= self._request.deadline
+        return is_late or self._feeder.has_caller_left
 
     def _go_back(self) -> None:
         """Wait for the attempts that are open, as no other can be made.
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -75,6 +75,9 @@
         self._connection = connection
         self._pipe = pipe
         self._attempts: Attempts | None = None
+        self._task: curio.Task | None = None
+        """Serves the request; None before and after that."""
+        self._is_given_up = False
 
     async def serve(self, head: RequestHead) -> None:
         """Answer a request, or refuse it.
@@ -88,10 +91,7 @@
             traceparent = traceparent_of({"traceparent": traceparent})
         hop = self._context.telemetry.start_hop("front", traceparent, is_root=True)
         try:
-            metadata = self._context.dialect.read_caller_headers(head.headers)
-            log.request_id = metadata.request_id or log.request_id
-            request = await self._admit(head, metadata, log)
-            await self._run(request, hop, log)
+            await self._serve_until_given_up(head, hop, log)
         except FleetError as error:
             log.note_error(error)
             await self.refuse(error, log.request_id)
@@ -106,9 +106,47 @@
             log.write(seconds)
 
     async def give_up(self) -> None:
-        """End the request, as this daemon ends; the target may still work on it."""
+        """End the request, whatever it waits for, as this daemon ends.
+
+        An answer that is being sent goes on.
+        """
+        if self._task is not None and self._connection.can_answer:
+            self._is_given_up = True
+            await self._task.cancel(blocking=False)
+
+    async def _serve_until_given_up(
+        self, head: RequestHead, hop: Hop, log: RequestLog
+    ) -> None:
+        """Admit a request and relay its answer.
+
+        Raises:
+            AttemptError: If the request was given up, or fails otherwise.
+        """
+        self._task = await curio.current_task()
+        try:
+            metadata = self._context.dialect.read_caller_headers(head.headers)
+            log.request_id = metadata.request_id or log.request_id
+            request = await self._admit(head, metadata, log)
+            await self._run(request, hop, log)
+        except curio.TaskCancelled:
+            if not self._is_given_up or not self._connection.can_answer:
+                raise
+            raise self._given_up_error() from None
+        finally:
+            self._task = None
+            if self._is_given_up:
+                await _discard_cancellation()
+
+    def _given_up_error(self) -> AttemptError:
+        verdict = Verdict.NOT_RUN
         if self._attempts is not None:
-            await self._attempts.give_up()
+            verdict = self._attempts.verdict
+        return AttemptError(
+            ErrorCode.DAEMON_STOPPING,
+            "this VM's daemon ended before the target answered",
+            verdict,
+            retry_after=_STOPPING_RETRY_SECONDS,
+        )
 
     async def _admit(
         self, head: RequestHead, metadata: CallerMetadata, log: RequestLog
@@ -350,3 +388,11 @@
     if team is not None and team.priority is not None:
         return team.priority
     return route.priority
+
+
+async def _discard_cancellation() -> None:
+    """Keep a cancellation from reaching a later wait than the one it was meant for."""
+    try:
+        await curio.check_cancellation()
+    except curio.TaskCancelled:
+        _LOG.debug("GivenUpLate")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -156,6 +156,60 @@
     run_fleet(scenario)
 
 
+async def use_only_the_other_vm(fleet):
+    """Leave the first daemon's requests no target but that of the second VM."""
+    daemon = fleet.daemons[0]
+    await fleet.announcers[0].cancel()
+    await daemon.guard.drain("target-0")
+    await fleet.wait_until(
+        lambda: len(daemon.context.directory.candidates("catalogue")) == 1
+    )
+    return fleet.targets[1]
+
+
+def test_request_whose_outcome_is_asked_at_the_end_of_a_stop_is_answered(run_fleet):
+    """Its guard can't be reached, so it waited for neither a target nor an attempt."""
+
+    async def scenario(fleet):
+        target = await use_only_the_other_vm(fleet)
+        shorten_stop(fleet.daemons[0])
+        target.behaviour = replace(target.behaviour, work_seconds=4.0)
+        call = await curio.spawn(fleet.call, 0, "POST")
+        await fleet.wait_until(lambda: target.running)
+        fleet.blocked_pairs.add(frozenset((0, 1)))
+        await fleet.cut_links(0, 1)
+        await stop_and_end(fleet.daemons[0])
+        answer = await call.join()
+        assert answer.status == 502
+        assert answer.header("x-fleet-verdict") == "may-have-run"
+
+    run_fleet(scenario)
+
+
+def test_request_that_waits_for_a_link_at_the_end_of_a_stop_is_answered(run_fleet):
+    async def scenario(fleet):
+        target = await use_only_the_other_vm(fleet)
+        daemon = fleet.daemons[0]
+        shorten_stop(daemon, 0.4)
+
+        async def never_connect(address, timeout_seconds):
+            await curio.sleep(10.0)
+            raise ConnectionRefusedError
+
+        daemon.peers.connect = never_connect
+        fleet.blocked_pairs.add(frozenset((0, 1)))
+        await fleet.cut_links(0, 1)
+        await fleet.wait_until(lambda: not daemon.peers.open_links())
+        call = await curio.spawn(fleet.call, 0, "POST")
+        await fleet.wait_until(lambda: daemon.front.busy)
+        await stop_and_end(daemon)
+        answer = await call.join()
+        assert answer.status in (502, 503)
+        assert not target.runs_by_request
+
+    run_fleet(scenario)
+
+
 def test_calls_of_a_target_are_served_while_it_works_on_a_request(run_fleet):
     """A request that runs through a stop must not fail for want of its calls."""
 
