Answer all requests that have arrived before a connection closes

What callers saw: a daemon that is being stopped announced the close on the answer in progress, and dropped the requests that it had read behind it; one that arrived after reading had stopped was closed upon, however long it had waited. Cause: only requests that had been begun kept the connection open.

--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -115,7 +115,7 @@
 
     @property
     def has_surplus(self) -> bool:
-        """Whether bytes beyond the request have been read."""
+        """Whether bytes have been read that are not parsed yet."""
         return bool(self._protocol.trailing_data[0])
 
     def successor(self, turn: curio.Event | None = None) -> ServerConnection:
--- a/packages/adapters/src/bramleyglade_adapters/http/wire.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/wire.py
@@ -107,6 +107,14 @@
     return True
 
 
+def has_data_now(sock: curio_io.Socket) -> bool:
+    """Return whether data has arrived that was not read."""
+    try:
+        return bool(sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False  # None has arrived, or the connection is broken.
+
+
 async def wait_readable(sock: curio_io.Socket) -> None:
     """Wait until data, a close or an error can be read; no byte is read.
 
--- a/packages/daemon/src/bramleyglade_daemon/front/pipe.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/pipe.py
@@ -9,7 +9,12 @@
 import curio
 
 from bramleyglade_adapters.http.server_connection import ServerConnection
-from bramleyglade_adapters.http.wire import RECEIVE_BYTES, wait_for_close, wait_readable
+from bramleyglade_adapters.http.wire import (
+    RECEIVE_BYTES,
+    has_data_now,
+    wait_for_close,
+    wait_readable,
+)
 from bramleyglade_core.decisions.routing import check_path
 from bramleyglade_core.model.errors import BadRequest, FleetError
 
@@ -78,21 +83,20 @@
         self._is_stopped = False
         self._closed = curio.Event()
 
-    def has_started_behind(self, connection: ServerConnection) -> bool:
-        """Return whether work on a later request than a connection's has begun."""
-        for request in reversed(self._waiting):
-            if request.connection is connection:
-                return False
-            if request.task is not None:
-                return True
-        return False
+    def has_arrived_behind(self, connection: ServerConnection) -> bool:
+        """Return whether bytes have arrived behind a connection's request."""
+        if connection is not self._tail:
+            return True
+        # The next request's object has taken over the bytes behind this one.
+        holder = self._next or connection
+        return holder.has_surplus or has_data_now(self._sock)
 
     async def receive(self) -> PipedRequest | None:
         """Wait for the next request.
 
         Returns:
             The request, or None if there is none: the caller has closed the
-            connection, or this daemon accepts no more requests.
+            connection, or this daemon reads no more requests and none has arrived.
 
         Raises:
             curio.TaskTimeout: If the caller takes too long.
@@ -102,12 +106,14 @@
             await self._cancel_reader()
         if self._waiting:
             return self._waiting.popleft()
-        if self._closed.is_set() or self._is_stopped:
+        if self._closed.is_set():
             return None
         limits = self._context.configuration.caller_limits
         ends_at = self._context.clock() + limits.idle_seconds
         has_begun = False
         while (request := self._parse()) is None:
+            if self._is_stopped and not has_data_now(self._sock):
+                return None
             async with curio.timeout_after(max(0.0, ends_at - self._context.clock())):
                 if not await self._wait_for_bytes():
                     return None
@@ -168,14 +174,14 @@
                 await request.task.cancel()
 
     async def _wait_for_bytes(self) -> bool:
-        """Wait until the socket can be read; False if reading was stopped instead."""
+        """Wait until the socket can be read; False if reading stops and it can't."""
         self._idle_task = await curio.current_task()
         try:
             await wait_readable(self._sock)
         except curio.TaskCancelled:
             if not self._is_stopped:
                 raise
-            return False
+            return has_data_now(self._sock)
         finally:
             self._idle_task = None
         return True
