Accept late in a stop only what is over before its end

Cause: its place in the stop was judged by the typical time of the service, which a target's tail exceeds. Evidence: the test got 200 in the place of a refusal before, from a daemon that could not have waited for a slow answer. After the notice the deadline decides now: targets' calls, which end within a fraction of a second, go on; what may outlast the stop is refused at once with 503, not run. The test of a target's calls sends the deadline that such calls bear; what it asks for is the same.

--- a/packages/core/src/bramleyglade_core/decisions/stop_schedule.py
+++ b/packages/core/src/bramleyglade_core/decisions/stop_schedule.py
@@ -21,7 +21,8 @@
 
     Callers notice the stop within the notice. After it, only requests without a key
     are accepted, and only while targets of this VM work on earlier requests, which may
-    make such calls.
+    make such calls. Their deadlines must pass before the stop ends, so that none of
+    them is given up while a target works on it.
     """
 
     notice_ends_at: float
@@ -38,7 +39,13 @@
             self.ends_at,
         )
 
-    def accepts(self, now: float, has_key: bool, typical_seconds: float) -> bool:
+    def accepts(
+        self,
+        now: float,
+        has_key: bool,
+        typical_seconds: float,
+        timeout_seconds: float,
+    ) -> bool:
         """Return whether a request that has just been read can still be served.
 
         Args:
@@ -46,9 +53,12 @@
             has_key: Whether the request belongs to a team, so that its caller is not a
                 target.
             typical_seconds: Typical time of an answer of its service.
+            timeout_seconds: Time after which the request fails unanswered.
         """
         if now >= (self.notice_ends_at if has_key else self.acceptance_ends_at):
             return False
+        if now >= self.notice_ends_at and now + timeout_seconds > self.ends_at:
+            return False
         return now + _EXPECTED_TIME_MARGIN * typical_seconds <= self.ends_at
 
 
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -168,7 +169,7 @@
         log.note_route(self._context.view.revision, route)
         team = authenticate(configuration, route, metadata.key, is_valid)
         log.note_route(self._context.view.revision, route, team)
-        self._check_stop(route, has_key=team is not None)
+        self._check_stop(metadata, route, has_key=team is not None)
         if team is not None and not team.is_unlimited:
             await self._front.limiter.admit(team)
         service_name = self._context.splitter.choose(route)
@@ -192,13 +193,19 @@
             arrived_at=arrived_at,
         )
 
-    def _check_stop(self, route: Route, has_key: bool) -> None:
+    def _check_stop(
+        self, metadata: CallerMetadata, route: Route, has_key: bool
+    ) -> None:
         """Refuse a request that can't be answered before this daemon ends."""
         schedule = self._context.stop_schedule
         if schedule is None:
             return
         typical = self._front.dispatcher.typical_seconds(route.service)
-        if not schedule.accepts(self._context.clock(), has_key, typical):
+        service = self._context.configuration.service_by_name.get(route.service)
+        timeout = math.inf
+        if service is not None:
+            timeout = timeout_of(metadata, route, service)
+        if not schedule.accepts(self._context.clock(), has_key, typical, timeout):
             raise AttemptError(
                 ErrorCode.DAEMON_STOPPING,
                 "this VM's daemon is being stopped",
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -156,22 +156,25 @@
     run_fleet(scenario)
 
 
-async def use_only_the_other_vm(fleet):
-    """Leave the first daemon's requests no target but that of the second VM."""
-    daemon = fleet.daemons[0]
-    await fleet.announcers[0].cancel()
-    await daemon.guard.drain("target-0")
+async def use_only_one_vm(fleet, index):
+    """Leave the requests of two VMs no target but that of one."""
+    other = 1 - index
+    await fleet.announcers[other].cancel()
+    await fleet.daemons[other].guard.drain(f"target-{other}")
     await fleet.wait_until(
-        lambda: len(daemon.context.directory.candidates("catalogue")) == 1
+        lambda: all(
+            len(daemon.context.directory.candidates("catalogue")) == 1
+            for daemon in fleet.daemons
+        )
     )
-    return fleet.targets[1]
+    return fleet.targets[index]
 
 
 def test_request_whose_outcome_is_asked_at_the_end_of_a_stop_is_answered(run_fleet):
     """Its guard can't be reached, so it waited for neither a target nor an attempt."""
 
     async def scenario(fleet):
-        target = await use_only_the_other_vm(fleet)
+        target = await use_only_one_vm(fleet, 1)
         shorten_stop(fleet.daemons[0])
         target.behaviour = replace(target.behaviour, work_seconds=4.0)
         call = await curio.spawn(fleet.call, 0, "POST")
@@ -188,7 +191,7 @@
 
 def test_request_that_waits_for_a_link_at_the_end_of_a_stop_is_answered(run_fleet):
     async def scenario(fleet):
-        target = await use_only_the_other_vm(fleet)
+        target = await use_only_one_vm(fleet, 1)
         daemon = fleet.daemons[0]
         shorten_stop(daemon, 0.4)
 
@@ -210,33 +213,40 @@
     run_fleet(scenario)
 
 
+async def start_parent(fleet, work_seconds):
+    """Send a request that works on the first VM, then give the second a target."""
+    target = await use_only_one_vm(fleet, 0)
+    target.behaviour = replace(target.behaviour, work_seconds=work_seconds)
+    parent = await curio.spawn(fleet.call, 0, "POST")
+    await fleet.wait_until(lambda: target.running)
+    await fleet.start_target(1, name="target-2")
+    await fleet.wait_until(
+        lambda: len(fleet.daemons[0].context.directory.candidates("catalogue")) == 2
+    )
+    return parent
+
+
+async def stop_until_notice_has_ended(fleet):
+    daemon = fleet.daemons[0]
+    stop = await curio.spawn(daemon.stop)
+    await fleet.wait_until(lambda: daemon.context.stop_schedule is not None)
+    schedule = daemon.context.stop_schedule
+    await fleet.wait_until(
+        lambda: daemon.context.clock() > schedule.notice_ends_at + 0.05
+    )
+    return stop
+
+
 def test_calls_of_a_target_are_served_while_it_works_on_a_request(run_fleet):
     """A request that runs through a stop must not fail for want of its calls."""
 
     async def scenario(fleet):
-        daemon = fleet.daemons[0]
-        shorten_stop(daemon, stop_seconds=3.0)
-        await fleet.announcers[1].cancel()
-        await fleet.daemons[1].guard.drain("target-1")
-        await fleet.wait_until(
-            lambda: len(daemon.context.directory.candidates("catalogue")) == 1
-        )
-        target = fleet.targets[0]
-        target.behaviour = replace(target.behaviour, work_seconds=1.0)
-        parent = await curio.spawn(fleet.call, 0, "POST")
-        await fleet.wait_until(lambda: target.running)
-        await fleet.start_target(1, name="target-2")
-        await fleet.wait_until(
-            lambda: len(daemon.context.directory.candidates("catalogue")) == 2
-        )
-        stop = await curio.spawn(daemon.stop)
-        await fleet.wait_until(lambda: daemon.context.stop_schedule is not None)
-        schedule = daemon.context.stop_schedule
-        await fleet.wait_until(
-            lambda: daemon.context.clock() > schedule.notice_ends_at + 0.05
-        )
-        call = await fleet.call(0, "GET", "/open/x", key="")
-        keyed = await fleet.call(0, "GET", "/lookup/x")
+        shorten_stop(fleet.daemons[0], stop_seconds=3.0)
+        parent = await start_parent(fleet, work_seconds=1.0)
+        stop = await stop_until_notice_has_ended(fleet)
+        in_time = (Header("x-request-timeout-seconds", "0.6"),)
+        call = await fleet.call(0, "GET", "/open/x", key="", headers=in_time)
+        keyed = await fleet.call(0, "GET", "/lookup/x", headers=in_time)
         assert call.status == 200
         assert (keyed.status, keyed.header("x-fleet-verdict")) == (503, "not-run")
         assert (await parent.join()).status == 200
@@ -245,15 +255,31 @@
     run_fleet(scenario)
 
 
+def test_request_that_may_outlast_the_stop_is_refused_after_the_notice(run_fleet):
+    """It would be given up while its target works on it."""
+
+    async def scenario(fleet):
+        shorten_stop(fleet.daemons[0], stop_seconds=3.0)
+        parent = await start_parent(fleet, work_seconds=1.0)
+        stop = await stop_until_notice_has_ended(fleet)
+        late = await fleet.call(0, "POST", "/open/x", key="")
+        assert (late.status, late.header("x-fleet-verdict")) == (503, "not-run")
+        assert (await parent.join()).status == 200
+        await stop.join()
+
+    run_fleet(scenario)
+
+
 @given(
     now=st.floats(0, 40),
     has_key=st.booleans(),
     typical=st.floats(0, 10),
+    timeout=st.floats(0, 10),
     stop_seconds=st.floats(1, 30),
     notice_share=st.floats(0, 0.9),
 )
 def test_schedule_accepts_nothing_that_cannot_end_in_time(
-    now, has_key, typical, stop_seconds, notice_share
+    now, has_key, typical, timeout, stop_seconds, notice_share
 ):
     addresses = [Address("127.0.0.1", 1)] * 3
     schedule = plan_stop(
@@ -265,10 +291,11 @@
         0.0,
     )
     assert schedule.notice_ends_at <= schedule.acceptance_ends_at <= schedule.ends_at
-    if schedule.accepts(now, has_key, typical):
+    if schedule.accepts(now, has_key, typical, timeout):
         assert now + typical <= stop_seconds
         assert now < schedule.acceptance_ends_at
-        assert schedule.accepts(now, False, typical)
+        assert now < schedule.notice_ends_at or now + timeout <= stop_seconds
+        assert schedule.accepts(now, False, typical, timeout)
 
 
 def test_request_read_after_the_last_point_of_acceptance_is_refused(run_fleet):
@@ -280,7 +307,7 @@
         stop = await curio.spawn(daemon.stop)
         await fleet.wait_until(lambda: not daemon.front.is_accepting)
         schedule = daemon.context.stop_schedule
-        assert not schedule.accepts(daemon.context.clock(), False, 0.0)
+        assert not schedule.accepts(daemon.context.clock(), False, 0.0, 0.0)
         await stop.join()
 
     run_fleet(scenario)
