Count the wait for a slot when a stopping daemon accepts a request

Cause: the last point of acceptance went by the service's typical time alone, without the queue ahead of the request. Evidence: behind a queue of eight at a target the request was taken before; now it is refused at once, not run.

--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -353,6 +353,30 @@
                 log_latencies.append(view.log_latency)
         return math.exp(statistics.median(log_latencies)) if log_latencies else None
 
+    def shortest_wait_seconds(
+        self, candidates: Sequence[Candidate], now: float
+    ) -> float:
+        """Return the shortest expected wait for a slot of a target; 0 if unknown.
+
+        Args:
+            candidates: Targets in zones in use that take new work.
+            now: Time of this process's clock, in seconds.
+        """
+        typical = self.typical_seconds(candidates)
+        if typical is None:
+            return 0.0
+        waits = []
+        for candidate in candidates:
+            view = self.view_by_target.get(candidate.target)
+            if view is None:
+                return 0.0
+            in_flight = self._in_flight_by_target.get(candidate.target, 0)
+            latency = typical
+            if view.log_latency is not None:
+                latency = math.exp(view.log_latency)
+            waits.append(_wait_seconds(view, in_flight, latency, now))
+        return min(waits, default=0.0)
+
     def _cost(
         self, candidate: Candidate, options: PickOptions, typical: float
     ) -> float:
@@ -389,8 +413,7 @@
             latency += (math.exp(view.log_latency) - typical) * weight
         limit = max(1, view.limit)
         busy = max(in_flight, view.busy)
-        queue_seconds = max(0, busy + 1 - limit) / limit * latency
-        wait_seconds = max(queue_seconds, view.remaining_wait(now))
+        wait_seconds = _wait_seconds(view, in_flight, latency, now)
         return latency + wait_seconds + _FULL_LOAD_COST_SECONDS * min(1.0, busy / limit)
 
     def _zone_cost(self, candidate: Candidate, options: PickOptions) -> float:
@@ -407,3 +430,13 @@
             else _FAILURE_COST_SECONDS
         )
         return risk * loss
+
+
+def _wait_seconds(
+    view: TargetView, in_flight: int, latency: float, now: float
+) -> float:
+    """Return the expected wait for a slot of a target, in seconds."""
+    limit = max(1, view.limit)
+    busy = max(in_flight, view.busy)
+    queue_seconds = max(0, busy + 1 - limit) / limit * latency
+    return max(queue_seconds, view.remaining_wait(now))
--- a/packages/core/src/bramleyglade_core/decisions/stop_schedule.py
+++ b/packages/core/src/bramleyglade_core/decisions/stop_schedule.py
@@ -15,6 +15,16 @@
 """Part of a stop after which nothing is accepted, whatever still runs."""
 
 
+@dataclass(frozen=True, slots=True)
+class ExpectedTimes:
+    """How long an answer of a service is expected to take, in seconds; 0 if unknown."""
+
+    typical_seconds: float = 0.0
+    """Typical time from a slot of a target to the answer."""
+    wait_seconds: float = 0.0
+    """Shortest wait for a slot."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopSchedule:
     """The times of one planned stop, by this process's clock, in seconds.
@@ -40,11 +50,7 @@
         )
 
     def accepts(
-        self,
-        now: float,
-        has_key: bool,
-        typical_seconds: float,
-        timeout_seconds: float,
+        self, now: float, has_key: bool, timeout_seconds: float, expected: ExpectedTimes
     ) -> bool:
         """Return whether a request that has just been read can still be served.
 
@@ -52,14 +58,15 @@
             now: Current time, in seconds.
             has_key: Whether the request belongs to a team, so that its caller is not a
                 target.
-            typical_seconds: Typical time of an answer of its service.
             timeout_seconds: Time after which the request fails unanswered.
+            expected: How long an answer of its service is expected to take.
         """
         if now >= (self.notice_ends_at if has_key else self.acceptance_ends_at):
             return False
         if now >= self.notice_ends_at and now + timeout_seconds > self.ends_at:
             return False
-        return now + _EXPECTED_TIME_MARGIN * typical_seconds <= self.ends_at
+        longest = _EXPECTED_TIME_MARGIN * expected.typical_seconds
+        return now + expected.wait_seconds + longest <= self.ends_at
 
 
 def plan_stop(settings: DaemonSettings, now: float) -> StopSchedule:
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -200,12 +200,12 @@
         schedule = self._context.stop_schedule
         if schedule is None:
             return
-        typical = self._front.dispatcher.typical_seconds(route.service)
+        expected = self._front.dispatcher.expected_times(route.service)
         service = self._context.configuration.service_by_name.get(route.service)
         timeout = math.inf
         if service is not None:
             timeout = timeout_of(metadata, route, service)
-        if not schedule.accepts(self._context.clock(), has_key, typical, timeout):
+        if not schedule.accepts(self._context.clock(), has_key, timeout, expected):
             raise AttemptError(
                 ErrorCode.DAEMON_STOPPING,
                 "this VM's daemon is being stopped",
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.decisions.directory import RoutableTargets
+from bramleyglade_core.decisions.stop_schedule import ExpectedTimes
 from bramleyglade_daemon.front.attempts import Attempts
 
 if TYPE_CHECKING:
@@ -69,7 +70,14 @@
         configuration = self._context.configuration
         return self._routable.find(request.service, configuration)
 
-    def typical_seconds(self, service: str) -> float:
-        """Return the typical time of a service's answers; 0 if it is not known."""
+    def expected_times(self, service: str) -> ExpectedTimes:
+        """Return how long an answer of a service is expected to take now."""
+        self.refresh_local_views()
+        picker = self._context.picker
         candidates = self._context.directory.candidates(service)
-        return self._context.picker.typical_seconds(candidates) or 0.0
+        return ExpectedTimes(
+            typical_seconds=picker.typical_seconds(candidates) or 0.0,
+            wait_seconds=picker.shortest_wait_seconds(
+                candidates, self._context.clock()
+            ),
+        )
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -20,7 +20,7 @@
     SimpleClient,
 )
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase
-from bramleyglade_core.decisions.stop_schedule import plan_stop
+from bramleyglade_core.decisions.stop_schedule import ExpectedTimes, plan_stop
 from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.exchange import Header
 from bramleyglade_core.model.identifiers import Address
@@ -275,11 +275,12 @@
     has_key=st.booleans(),
     typical=st.floats(0, 10),
     timeout=st.floats(0, 10),
+    wait=st.floats(0, 10),
     stop_seconds=st.floats(1, 30),
     notice_share=st.floats(0, 0.9),
 )
 def test_schedule_accepts_nothing_that_cannot_end_in_time(
-    now, has_key, typical, timeout, stop_seconds, notice_share
+    now, has_key, typical, timeout, wait, stop_seconds, notice_share
 ):
     addresses = [Address("127.0.0.1", 1)] * 3
     schedule = plan_stop(
@@ -291,11 +292,12 @@
         0.0,
     )
     assert schedule.notice_ends_at <= schedule.acceptance_ends_at <= schedule.ends_at
-    if schedule.accepts(now, has_key, typical, timeout):
-        assert now + typical <= stop_seconds
+    expected = ExpectedTimes(typical, wait)
+    if schedule.accepts(now, has_key, timeout, expected):
+        assert now + wait + typical <= stop_seconds
         assert now < schedule.acceptance_ends_at
         assert now < schedule.notice_ends_at or now + timeout <= stop_seconds
-        assert schedule.accepts(now, False, typical, timeout)
+        assert schedule.accepts(now, False, timeout, expected)
 
 
 def test_request_read_after_the_last_point_of_acceptance_is_refused(run_fleet):
@@ -307,12 +309,41 @@
         stop = await curio.spawn(daemon.stop)
         await fleet.wait_until(lambda: not daemon.front.is_accepting)
         schedule = daemon.context.stop_schedule
-        assert not schedule.accepts(daemon.context.clock(), False, 0.0, 0.0)
+        now = daemon.context.clock()
+        assert not schedule.accepts(now, False, 0.0, ExpectedTimes())
         await stop.join()
 
     run_fleet(scenario)
 
 
+def test_request_behind_a_queue_that_outlasts_the_stop_is_refused(run_fleet):
+    """It would wait for a slot until the stop ends, and then fail."""
+
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        target = await use_only_one_vm(fleet, 1)
+        target.behaviour = replace(target.behaviour, work_seconds=0.4)
+        for _ in range(4):
+            assert (await fleet.call(0, "POST")).status == 200
+        shorten_stop(daemon, stop_seconds=2.0)
+        queued = [await curio.spawn(fleet.call, 1, "POST") for _ in range(12)]
+        name = target.announced.name
+        views = daemon.context.picker.view_by_target
+        await fleet.wait_until(
+            lambda: any(v.busy >= 8 for t, v in views.items() if t.name == name)
+        )
+        stop = await curio.spawn(daemon.stop)
+        await fleet.wait_until(lambda: daemon.context.is_leaving)
+        late = await fleet.call(0, "POST")
+        assert late.status == 503
+        assert json.loads(late.body)["code"] == "daemon-stopping"
+        await stop.join()
+        for call in queued:
+            await call.join()
+
+    run_fleet(scenario)
+
+
 def test_leaving_keeper_hands_over_while_its_requests_run(run_fleet):
     """A keeper that fails late in its stop leaves its teams without grants."""
 
