Read what has arrived of a body whose link is lost

What callers saw: a write whose whole body had reached the target's VM could end in may-have-run at its deadline if its link broke before the target had taken the body in. Cause: GuardStream.receive grants credit for the piece that it has read; on a lost link that raised LinkLost, and TargetWorker._upload lost the piece and ended with curio's "Task Crash", while the exchange waited for an answer to a request that never got its end. Evidence: the test failed before with LinkLost from receive; a trial that cut the link during an upload logged the crash with this cause. Why the fix works: the front's end already takes an ungranted credit for nothing (the loss is told by the stream's end); the guard's end does the same, so the pieces and the end that are queued are read, or the truncation after them. Ruled out: to grant no credit once the stream is abandoned, as a link is closed before its streams hear of it. Not measured: how often this happened to callers.

--- a/packages/daemon/src/bramleyglade_daemon/streams.py
+++ b/packages/daemon/src/bramleyglade_daemon/streams.py
@@ -320,7 +320,11 @@
         self._uncredited_bytes += size
         if self._uncredited_bytes * _CREDIT_DIVISOR >= self._window:
             granted, self._uncredited_bytes = self._uncredited_bytes, 0
-            await self._sender.post(CreditGranted(granted))
+            try:
+                await self._sender.post(CreditGranted(granted))
+            except FleetError as error:
+                # What has arrived still counts; its end shows whether it is whole.
+                _LOG.debug("CreditUndelivered", extra={"why": error.detail})
 
 
 def make_local_streams(window: int) -> tuple[FrontStream, GuardStream]:
