End an exchange whose upload is truncated

What callers saw: a write whose link to the guard broke during its upload was answered at its deadline (5 s in the test) instead of at once, and the target, which waited for the rest of the body with a slot taken, was charged with the failure. Cause: only the upload's task heard of the truncation, as AttemptError, and died of it; nobody joins it. Where the guard cancels the worker (the front gave up, or the request is idempotent) only the traceback was wrong; a write whose link is lost goes on so that its outcome can be asked for, and went on without its body. Why the fix works: the upload's task tells its worker, which ends as for an abandoned attempt: connection closed and never used again, verdict may-have-run, no failure noted at the target, and who asks for the outcome is answered. Ruled out: to swallow the error, which leaves the write waiting; to half-close the connection, as a target may take no notice; to close it under the reader, as an answer without a length would then look complete. The fuzzer passes over no crash any more.

--- a/benchmarks/exchange_fuzzer/player.py
+++ b/benchmarks/exchange_fuzzer/player.py
@@ -56,9 +56,6 @@
     },
     "Limits": {**CONFIGURATION["Limits"], "MaxBodyBytes": 10_000_000},
 }
-_CANCELLED_UPLOAD = "TargetWorker._upload"
-"""Ends with an exception when its front gives up, which breaks no promise."""
-
 CRASH_EVENTS = ("TaskCrashed", "CallerTaskCrashed", "ExchangeCrashed", "Task Crash")
 
 
@@ -108,8 +105,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Keep a line if it tells of a crash."""
-        message = record.getMessage()
-        if message.startswith(CRASH_EVENTS) and _CANCELLED_UPLOAD not in message:
+        if record.getMessage().startswith(CRASH_EVENTS):
             self.lines.append(self.format(record))
 
 
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -205,6 +205,17 @@
         except OSError:
             # The target may have answered early, which the answer will show.
             return
+        except AttemptError:
+            await self._end_truncated(item)
+
+    async def _end_truncated(self, item: QueuedAttempt) -> None:
+        """Cancel an exchange whose front gave up or was lost during the upload.
+
+        The target gets no more of the body, so it may never answer. An answer that
+        has begun may still end.
+        """
+        if self.current is item and self.head_seconds is None:
+            await self.cancel_current()
 
     async def _relay_answer(
         self,
