Let the calls of a survey end with it

Cause: the end of curio.run cancels tasks from the newest to the oldest, so a call is cancelled before the task that joins it, and Task.join turns that into TaskError, a crash. A keeper can't lose its survey by it: the shard is released however the survey ends, and the next period begins another (test). What could not matter then is still wrong at each stop of a real daemon, and a survey that was cancelled itself left its calls behind. Why the fix works: the calls belong to a task group of the survey (gather), which ends as cancelled if a call was. Ruled out: TaskGroup.results, which raises the cancellation of a call before the error that led to it, and would end SharedState.run without a word (test); to catch TaskError, which would hide crashes.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/holdings_collector.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/holdings_collector.py
@@ -12,6 +12,7 @@
 from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.errors import FleetError
 from bramleyglade_core.model.shares import HoldingsAsked, HoldingsTold
+from bramleyglade_daemon.fleet.gather import gather
 from bramleyglade_daemon.fleet.keeper_calls import ANSWER_TIMEOUT_SECONDS
 from bramleyglade_daemon.fleet.peers import expect
 
@@ -116,8 +117,7 @@
 
     async def _gather(self, names: list[str], shard: int) -> dict[str, HoldingsTold]:
         """Query members' holdings; members that don't answer are left out."""
-        tasks = [await curio.spawn(self._query, name, shard) for name in names]
-        answers = [await task.join() for task in tasks]
+        answers = await gather(self._query(name, shard) for name in names)
         return {
             name: answer
             for name, answer in zip(names, answers, strict=True)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -20,6 +20,7 @@
     RecordsTold,
     SuspicionTold,
 )
+from bramleyglade_daemon.fleet.gather import gather
 from bramleyglade_daemon.fleet.peers import expect
 
 if TYPE_CHECKING:
@@ -222,8 +223,7 @@
             if link.peer is not None and link.peer.daemon.name != name
         ]
         chosen = self._context.random.sample(links, min(count, len(links)))
-        tasks = [await curio.spawn(self._request_probe, link, name) for link in chosen]
-        answers = [await task.join() for task in tasks]
+        answers = await gather(self._request_probe(link, name) for link in chosen)
         if any(answers) or (needs_answer and False not in answers):
             return
         record = self._context.directory.record_by_name.get(name)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -30,6 +30,7 @@
     SightTold,
 )
 from bramleyglade_core.model.settings import OutagePolicy
+from bramleyglade_daemon.fleet.gather import gather
 from bramleyglade_daemon.fleet.peers import expect
 
 if TYPE_CHECKING:
@@ -294,16 +295,15 @@
         """Query members spread over all zones; this daemon is one of the sample."""
         own_name = self._context.settings.name
         own_report = await self.report_store_contact()
-        reports: list[StoreReport | None] = [
-            StoreReport(own_report.is_away, own_report.reached_for_seconds)
-        ]
-        tasks = [
-            await curio.spawn(self._query_store_report, name)
+        reports = await gather(
+            self._query_store_report(name)
             for name in self._sample_names()
             if name != own_name
+        )
+        return [
+            StoreReport(own_report.is_away, own_report.reached_for_seconds),
+            *reports,
         ]
-        reports += [await task.join() for task in tasks]
-        return reports
 
     async def _query_store_report(self, name: str) -> StoreReport | None:
         try:
