Count the work of withdrawn targets when a daemon stops

What callers saw: a target that says that it leaves, or whose announcement expires, goes on working on what it has; if its daemon was stopped meanwhile, the daemon ended at once and its caller got 502, may-have-run, and calls of that target were refused, so that their parents failed. Cause: a withdrawn target's runner is dropped from the guard's table, and with it from what the stop waits for. Found by the review of the trace. Why the fix works: the guard counts runners until they are idle, whether their target is still announced or not.

--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -48,6 +48,8 @@
         self.attempts = AttemptTable(context.settings.guard, context.clock)
         self.outcomes = OutcomeResponder(self.attempts)
         self.runner_by_name: dict[str, TargetRunner] = {}
+        self._withdrawn: set[TargetRunner] = set()
+        """Runners of targets that were withdrawn while they worked on requests."""
         self._renewed_at_by_name: dict[str, float] = {}
         self._runs = TargetRuns(context.runs)
         self.on_changed: Callable[[], Awaitable[None]] | None = None
@@ -59,8 +61,9 @@
 
     @property
     def busy(self) -> int:
-        """Attempts that run or are queued."""
-        return sum(runner.busy for runner in self.runner_by_name.values())
+        """Attempts that run or are queued, those of withdrawn targets included."""
+        runners = (*self.runner_by_name.values(), *self._withdrawn)
+        return sum(runner.busy for runner in runners)
 
     def views(self) -> tuple[TargetViewTold, ...]:
         """Return load and health of all targets."""
@@ -218,6 +221,7 @@
         if runner is None:
             return False
         await runner.close()
+        self._withdrawn.add(runner)
         await self._publish_change("TargetWithdrawn", name)
         return True
 
@@ -239,6 +243,7 @@
             for name, renewed_at in list(self._renewed_at_by_name.items()):
                 if renewed_at < oldest:
                     await self.withdraw(name)
+            self._withdrawn = {runner for runner in self._withdrawn if runner.busy}
             for runner in list(self.runner_by_name.values()):
                 runner.health.service_log_latency = self._service_log_latency(runner)
                 runner.check_overdue()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -344,6 +344,40 @@
     run_fleet(scenario)
 
 
+def test_work_of_a_withdrawn_target_is_finished_before_its_guard_ends(run_fleet):
+    """A target may say that it leaves, work on, and its daemon be stopped meanwhile."""
+
+    async def scenario(fleet):
+        target = await use_only_one_vm(fleet, 1)
+        daemon = fleet.daemons[1]
+        shorten_stop(daemon, 5.0)
+        target.behaviour = replace(target.behaviour, work_seconds=1.5)
+        call = await curio.spawn(fleet.call, 0, "POST")
+        await fleet.wait_until(lambda: target.running)
+        await fleet.announcers[1].cancel()
+        await daemon.guard.withdraw("target-1")
+        await stop_and_end(daemon)
+        assert (await call.join()).status == 200
+
+    run_fleet(scenario)
+
+
+def test_calls_of_a_withdrawn_target_are_served_while_it_works(run_fleet):
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        shorten_stop(daemon, stop_seconds=3.0)
+        parent = await start_parent(fleet, work_seconds=1.0)
+        await daemon.guard.withdraw("target-0")
+        stop = await stop_until_notice_has_ended(fleet)
+        in_time = (Header("x-request-timeout-seconds", "0.6"),)
+        call = await fleet.call(0, "GET", "/open/x", key="", headers=in_time)
+        assert call.status == 200
+        assert (await parent.join()).status == 200
+        await stop.join()
+
+    run_fleet(scenario)
+
+
 def test_leaving_keeper_hands_over_while_its_requests_run(run_fleet):
     """A keeper that fails late in its stop leaves its teams without grants."""
 
