Ask for an outcome again if the link is lost a second time

What callers saw: a write whose link to the guard broke twice got 502, may-have-run, although its target went on and answered. Cause: the outcome was asked for once only. Evidence: the test got 502 peer-lost before. Now it is asked for until the deadline.

--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -240,13 +240,13 @@
             if error.code is ErrorCode.NO_TARGET:
                 raise
             return AttemptFailed(error.code, error.detail, error.verdict)
-        failed = await self._relay(attempts, request)
-        if failed is None:
-            return None
-        failed = await attempts.resolve_outcome(failed)
-        if failed is None:
-            return await self._relay(attempts, request)
-        return failed
+        while True:
+            failed = await self._relay(attempts, request)
+            if failed is None:
+                return None
+            unresolved = await attempts.resolve_outcome(failed)
+            if unresolved is not None:
+                return unresolved
 
     async def _relay(
         self, attempts: Attempts, request: AdmittedRequest
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -218,6 +218,27 @@
     run_fleet(scenario, daemons=1, zones=1)
 
 
+def test_outcome_is_asked_again_if_the_link_is_lost_a_second_time(run_fleet):
+    async def scenario(fleet):
+        front = fleet.daemons[0]
+        await fleet.announcers[0].cancel()
+        await front.guard.drain("target-0")
+        await fleet.wait_until(
+            lambda: len(front.context.directory.candidates("catalogue")) == 1
+        )
+        target = fleet.targets[1]
+        target.behaviour = replace(target.behaviour, work_seconds=1.5)
+        call = await curio.spawn(fleet.call, 0, "POST")
+        await fleet.wait_until(lambda: target.running)
+        for _ in range(2):
+            await fleet.cut_links(0, 1)
+            await curio.sleep(0.4)
+        assert (await call.join()).status == 200
+        assert sum(target.runs_by_request.values()) == 1
+
+    run_fleet(scenario)
+
+
 def test_asking_for_the_outcome_of_an_unknown_attempt_fences_it(run_fleet):
     """The attempt arrives after its front has asked for its outcome."""
 
