Keep a slow attempt at the cost that a retry had

By reading: the failure of an attempt set aside taught the picker nothing; a request given up during the offer was counted in flight for ever; a target that can't be reached was marked twice for one failure, which doubled its first avoidance. An answer that reports a failure is sent 0.1 s before the deadline if a slow target is still waited for.

--- a/packages/core/src/bramleyglade_core/ports/streams.py
+++ b/packages/core/src/bramleyglade_core/ports/streams.py
@@ -46,6 +46,10 @@
 class AttemptPort(Protocol):
     """A guard that attempts can be offered to, local or remote."""
 
+    @property
+    def is_linked(self) -> bool:
+        """Whether an offer needs no new link."""
+
     async def offer(self, offered: AttemptOffered) -> AttemptStream:
         """Offer an attempt.
 
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -63,6 +63,9 @@
 _DEADLINE_GRACE_SECONDS = 0.25
 """Extra wait after the deadline for the guard's own report of the failure."""
 
+_FALLBACK_MARGIN_SECONDS = 0.1
+"""Time before the deadline at which a kept error answer is sent instead of waiting."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -102,7 +105,7 @@
         self._candidate: Candidate | None = None
         """Target of the attempt that was made last."""
         self._upload: curio.Task | None = None
-        self._open = OpenAttempts(self._context.picker)
+        self._open = OpenAttempts(self._context.picker, self._note_failure)
         self.fallback_answer: BufferedAnswer | None = None
         """A target's error answer, sent to the caller if no retry succeeds."""
 
@@ -144,6 +147,9 @@
             self._context.picker.note_ended(candidate.target)
             self._note_unreachable(candidate.target)
             raise AttemptError(error.code, error.detail, Verdict.NOT_RUN) from None
+        except BaseException:
+            self._context.picker.note_ended(candidate.target)
+            raise
         self._open.add(OpenAttempt(candidate, offered, port, stream))
         if self._request.head.has_body:
             self._upload = await curio.spawn(self._feed, stream, daemon=True)
@@ -186,6 +192,8 @@
         self, receive: Callable[[], Awaitable[AnswerEvent]]
     ) -> AnswerEvent:
         end = self._request.deadline + _DEADLINE_GRACE_SECONDS
+        if self.fallback_answer is not None:
+            end = self._request.deadline - _FALLBACK_MARGIN_SECONDS
         try:
             async with curio.timeout_after(max(0.0, end - self._context.clock())):
                 return await receive()
@@ -204,9 +212,8 @@
         if not await self._try_spend_retry(Verdict.MAY_HAVE_RUN):
             return False
         self._is_retry_charged = True
-        # Asking peers takes time, in which the answer may come or a stop begin.
-        has_answer = self.stream is None or self.stream.has_more
-        return not has_answer and not self._context.is_leaving
+        # Asking peers takes time, in which an answer may come or a stop begin.
+        return not self._open.has_event and not self._context.is_leaving
 
     def _log_slow(self) -> None:
         assert self._open.current is not None
@@ -268,6 +275,10 @@
                 break
         return failed
 
+    async def keep_only_current(self) -> None:
+        """End all attempts but the one whose answer is sent to the caller."""
+        await self._open.end_others()
+
     async def end(self) -> None:
         """End all attempts; does nothing if they have already ended."""
         await self._open.end_all()
@@ -287,14 +298,15 @@
             AttemptError: If the failure must go to the caller instead.
         """
         await self._end_upload()
-        self._note_failure(failed)
+        if self._open.current is not None:
+            self._note_failure(self._open.current, failed)
         self._verdict = self._verdict.combined_with(failed.verdict)
         self._is_unsettled = False
         if failed.code is ErrorCode.TARGET_SLOW:
             self._open.set_aside()
         else:
             await self._open.end_current()
-        if await self._may_retry(failed):
+        if not self._must_go_back and await self._may_retry(failed):
             self._hop.set_attribute("retry.after", failed.code.value)
         elif self._may_go_back:
             self._must_go_back = True
@@ -303,12 +315,8 @@
                 failed.code, failed.detail, self._verdict, failed.retry_after
             )
 
-    def _note_failure(self, failed: AttemptFailed) -> None:
-        current = self._open.current
-        candidate = self._candidate if current is None else current.candidate
-        if candidate is None:
-            return
-        target = candidate.target
+    def _note_failure(self, attempt: OpenAttempt, failed: AttemptFailed) -> None:
+        target = attempt.candidate.target
         if failed.code is ErrorCode.PEER_LOST:
             self._note_unreachable(target)
         if failed.code is ErrorCode.TARGET_EJECTED:
@@ -356,6 +364,8 @@
         is_charged, self._is_retry_charged = self._is_retry_charged, False
         if is_charged:
             return True
+        if not self._has_other_target():
+            return False
         is_allowed = await self._try_spend_retry(failed.verdict)
         # Asking peers for a retry takes time, in which the request may be given up.
         return is_allowed and self._may_send_again(failed)
@@ -398,6 +408,9 @@
 
     def _pick(self) -> Pick | None:
         candidates = self._dispatcher.candidates(self._request)
+        if self._open.has_others:
+            # The open attempts are not received from while a link is opened.
+            candidates = [c for c in candidates if self._is_linked(c)]
         stated = self._request.head.content_length
         is_retryable = self._request.is_idempotent and not self._is_last
         options = PickOptions(
@@ -409,6 +422,9 @@
         self._dispatcher.refresh_local_views()
         return self._context.picker.pick(candidates, self._tried, options)
 
+    def _is_linked(self, candidate: Candidate) -> bool:
+        return self._dispatcher.port(candidate).is_linked
+
     def _make_offer(self, pick: Pick) -> AttemptOffered:
         request = self._request
         candidate = pick.candidate
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -272,6 +272,7 @@
         if isinstance(following, AnswerEnded):
             answer = BufferedAnswer(event, bytes(buffered), following.trailers)
             return await self._send_or_retry(attempts, request, answer)
+        await attempts.keep_only_current()
         self._start_answer(event, request)
         if buffered:
             self._connection.continue_answer(bytes(buffered))
@@ -291,6 +292,7 @@
             return AttemptFailed(
                 ErrorCode.TARGET_ERROR, f"the target answered {status}", Verdict.RAN
             )
+        await attempts.keep_only_current()
         await self._send_complete(answer, request)
         return None
 
--- a/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
@@ -29,6 +29,11 @@
         self._daemon = daemon
         self._window = window_bytes
 
+    @property
+    def is_linked(self) -> bool:
+        """Whether an offer needs no new link."""
+        return self._peers.link_to(self._daemon.name) is not None
+
     async def offer(self, offered: AttemptOffered) -> FrontStream:
         """Offer an attempt.
 
--- a/packages/daemon/src/bramleyglade_daemon/front/open_attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/open_attempts.py
@@ -12,6 +12,8 @@
 from bramleyglade_core.ports.streams import AttemptPort, AttemptStream
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bramleyglade_core.decisions.picker import Picker
     from bramleyglade_core.model.exchange import AnswerEvent
 
@@ -33,8 +35,17 @@
     for another one. Nothing is cancelled until one of them has answered.
     """
 
-    def __init__(self, picker: Picker) -> None:
+    def __init__(
+        self, picker: Picker, on_failed: Callable[[OpenAttempt, AttemptFailed], None]
+    ) -> None:
+        """Create it without an attempt.
+
+        Args:
+            picker: Counts the attempts in flight.
+            on_failed: Called when an attempt other than the current one has failed.
+        """
         self._picker = picker
+        self._on_failed = on_failed
         self._attempts: list[OpenAttempt] = []
         """In the order in which they were offered."""
         self.current: OpenAttempt | None = None
@@ -45,6 +56,11 @@
         """Whether an attempt other than the current one is open."""
         return any(attempt is not self.current for attempt in self._attempts)
 
+    @property
+    def has_event(self) -> bool:
+        """Whether a part of an answer has arrived and was not received."""
+        return any(attempt.stream.has_more for attempt in self._attempts)
+
     def add(self, attempt: OpenAttempt) -> None:
         """Add an attempt, which becomes the current one."""
         self._attempts.append(attempt)
@@ -74,6 +90,7 @@
             attempt = await self._wait_for_event()
             event = await attempt.stream.receive()
             if isinstance(event, AttemptFailed) and attempt is not self.current:
+                self._on_failed(attempt, event)
                 await self._end(attempt)
                 continue
             self.current = attempt
@@ -90,6 +107,12 @@
         if self.current is not None:
             await self._end(self.current)
 
+    async def end_others(self) -> None:
+        """End all attempts but the current one."""
+        for attempt in list(self._attempts):
+            if attempt is not self.current:
+                await self._end(attempt)
+
     async def end_all(self) -> None:
         """End all attempts; does nothing if there is none."""
         for attempt in list(self._attempts):
--- a/packages/daemon/src/bramleyglade_daemon/front/request_log.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request_log.py
@@ -109,7 +109,7 @@
 
 @unanswered_code.register
 def _(error: AnswerTruncated) -> str:
-    return "answer-truncated"
+    return "answer-reset"
 
 
 @unanswered_code.register
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -341,6 +341,11 @@
         self._guard = guard
         self._window = window_bytes
 
+    @property
+    def is_linked(self) -> bool:
+        """Whether an offer needs no new link; a call to this process never does."""
+        return True
+
     async def offer(self, offered: AttemptOffered) -> FrontStream:
         """Offer an attempt."""
         front, guard_end = make_local_streams(self._window)
--- a/tests/test_slow_attempts.py
+++ b/tests/test_slow_attempts.py
@@ -7,13 +7,21 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
 
 import curio
 import pytest
 
+from bramleyglade_adapters.link.link import LinkLost
 from bramleyglade_core.model.announcements import DaemonPhase
-from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.model.errors import ErrorCode
+from bramleyglade_core.model.exchange import AnswerEnded, Header
+from bramleyglade_core.model.identifiers import TargetId
+from bramleyglade_daemon.front import caller_exchange
+from bramleyglade_daemon.front.attempts import Attempts
+from bramleyglade_daemon.front.guard_ports import RemoteGuardPort
+from bramleyglade_daemon.streams import FrontStream
 from bramleyglade_standins.local_fleet import KEY
 from bramleyglade_standins.target_server import TargetStep
 
@@ -171,3 +179,130 @@
         assert len(held.arrived) == 1
 
     run_fleet(scenario)
+
+
+def test_no_third_target_is_tried_after_the_first_has_answered(
+    run_fleet, slow_loans, monkeypatch
+):
+    """It answered while peers were asked for the retry."""
+    picks = []
+    make_offer = Attempts._make_offer
+
+    def note_offer(attempts, pick):
+        picks.append(pick)
+        return make_offer(attempts, pick)
+
+    async def scenario(fleet):
+        monkeypatch.setattr(Attempts, "_make_offer", note_offer)
+        held, call = await start_call(fleet)
+        await held.wait_for(2)
+        picks.clear()
+        loans = slow_loans()
+        fleet.daemons[0].front.dispatcher._retries = loans
+        await loans.asked.wait()
+        await held.let_go(held.arrived[0])
+        await curio.sleep(0.2)
+        await loans.granted.set()
+        assert (await call.join()).status == 200
+        assert not picks
+
+    run_fleet(scenario, daemons=3, zones=3)
+
+
+def test_no_retry_is_spent_if_no_other_target_is_left(run_fleet):
+    async def scenario(fleet):
+        held, call = await start_call(fleet)
+        await held.wait_for(2)
+        slow, other = held.arrived
+        spent = []
+
+        class NoRetries:
+            async def try_spend(self, service, verdict):
+                spent.append(verdict)
+                return True
+
+        fleet.daemons[0].front.dispatcher._retries = NoRetries()
+        for target in fleet.targets:
+            target.behaviour = replace(target.behaviour, reset_share=1.0)
+        await held.let_go(other)
+        await curio.sleep(0.2)
+        await held.let_go(slow)
+        answer = await call.join()
+        assert answer.status == 502
+        assert json.loads(answer.body)["code"] == "answer-truncated"
+        assert not spent
+
+    run_fleet(scenario)
+
+
+def test_slow_attempt_ends_when_another_answer_is_sent(run_fleet, monkeypatch):
+    """Its target would work on while a long answer is relayed."""
+
+    async def scenario(fleet):
+        monkeypatch.setattr(caller_exchange, "_MAX_BUFFERED_BYTES", 1)
+        held, call = await start_call(fleet)
+        await held.wait_for(2)
+        deliver = FrontStream.deliver
+        ends = []
+
+        async def deliver_but_no_end(stream, message):
+            if isinstance(message, AnswerEnded):
+                ends.append((stream, message))
+            else:
+                await deliver(stream, message)
+
+        monkeypatch.setattr(FrontStream, "deliver", deliver_but_no_end)
+        await held.let_go(held.arrived[1])
+        await fleet.wait_until(lambda: bool(ends))
+        front = fleet.daemons[0].front
+        await fleet.wait_until(lambda: open_attempts(front) == 1)
+        for stream, message in ends:
+            await deliver(stream, message)
+        assert (await call.join()).status == 200
+
+    run_fleet(scenario)
+
+
+def test_slow_request_is_offered_to_no_target_without_a_link(run_fleet, monkeypatch):
+    """An answer of the slow target would not be received while the link is opened."""
+
+    async def scenario(fleet):
+        offers = []
+
+        async def offer(port, offered):
+            offers.append(offered)
+            raise LinkLost(ErrorCode.PEER_LOST, "no link")
+
+        for _ in range(WARM_UP_CALLS):
+            assert (await fleet.call(path="/lookup/1")).status == 200
+        front = fleet.daemons[0].front
+        remote = TargetId("vm-1", "target-1")
+        front.context.picker.avoid(remote, 4, front.context.clock() + 60.0)
+        held, call = await start_call(fleet)
+        assert held.arrived == [fleet.targets[0]]
+        monkeypatch.setattr(RemoteGuardPort, "offer", offer)
+        fleet.blocked_pairs.add(frozenset((0, 1)))
+        await fleet.cut_links(0, 1)
+        await fleet.wait_until(lambda: has_slow(front))
+        await held.let_go(fleet.targets[0])
+        assert (await call.join()).status == 200
+        assert not offers
+
+    run_fleet(scenario)
+
+
+def open_attempts(front):
+    return sum(
+        len(exchange._attempts._open._attempts)
+        for connection in front.connections
+        for exchange in connection._exchanges
+    )
+
+
+def has_slow(front):
+    """Return whether a request has gone back to a slow attempt."""
+    return any(
+        exchange._attempts is not None and exchange._attempts._must_go_back
+        for connection in front.connections
+        for exchange in connection._exchanges
+    )
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -112,7 +112,7 @@
     ("error", "code"),
     [
         (ConnectionResetError(), "caller-gone"),
-        (AnswerTruncated(), "answer-truncated"),
+        (AnswerTruncated(), "answer-reset"),
         (curio.TaskCancelled(), "cancelled"),
         (curio.TaskTimeout(), "timed-out"),
         (ZeroDivisionError(), "crashed"),
