Decide whether a connection closes when the turn of an answer comes

What callers saw: of three requests sent without waiting, the second was answered first, and announced the close while it waited for its turn; the third, sent 0.8 s before the connection closed, was read and dropped. Cause: the head of an answer was made when the answer was ready. The check that asked for this drop is replaced by one that asks for all three answers. A long answer announces no close in its head. Once an answer is in hand its request is not given up any more, so that no cancellation reaches the write of the answer or a later wait.

--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -79,6 +79,8 @@
         self._task: curio.Task | None = None
         """Serves the request; None before and after that."""
         self._is_given_up = False
+        self._is_answering = False
+        """Whether the final answer waits for its turn or is being sent."""
 
     async def serve(self, head: RequestHead) -> None:
         """Answer a request, or refuse it.
@@ -111,7 +113,7 @@
 
         An answer that is being sent goes on.
         """
-        if self._task is not None and self._connection.can_answer:
+        if self._task is not None and not self._is_answering:
             self._is_given_up = True
             await self._task.cancel(blocking=False)
 
@@ -130,13 +132,11 @@
             request = await self._admit(head, metadata, log)
             await self._run(request, hop, log)
         except curio.TaskCancelled:
-            if not self._is_given_up or not self._connection.can_answer:
+            if not self._is_given_up or self._is_answering:
                 raise
             raise self._given_up_error() from None
         finally:
             self._task = None
-            if self._is_given_up:
-                await _discard_cancellation()
 
     def _given_up_error(self) -> AttemptError:
         verdict = Verdict.NOT_RUN
@@ -273,7 +273,9 @@
             answer = BufferedAnswer(event, bytes(buffered), following.trailers)
             return await self._send_or_retry(attempts, request, answer)
         await attempts.keep_only_current()
-        self._start_answer(event, request)
+        await self._begin_answer()
+        # What arrives during a long answer is served, too.
+        self._start_answer(event, request, is_closing=False)
         if buffered:
             self._connection.continue_answer(bytes(buffered))
         await self._relay_rest(attempts, following)
@@ -299,7 +301,8 @@
     async def _send_complete(
         self, answer: BufferedAnswer, request: AdmittedRequest
     ) -> None:
-        self._start_answer(answer.started, request)
+        await self._begin_answer()
+        self._start_answer(answer.started, request, self._is_closing)
         if answer.body:
             self._connection.continue_answer(answer.body)
         self._connection.end_answer(self._without_key_header(answer.trailers))
@@ -342,7 +345,19 @@
             return await attempts.stream.receive()
         return await curio.ignore_after(_SHORT_WAIT_SECONDS, attempts.stream.receive)
 
-    def _start_answer(self, started: AnswerStarted, request: AdmittedRequest) -> None:
+    async def _begin_answer(self) -> None:
+        """Wait for the turn of the final answer, which is not given up from here on.
+
+        Whether the connection closes behind it can only be said when its turn has come.
+        """
+        self._is_answering = True
+        if self._is_given_up:
+            await _discard_cancellation()
+        await self._connection.wait_turn()
+
+    def _start_answer(
+        self, started: AnswerStarted, request: AdmittedRequest, is_closing: bool
+    ) -> None:
         dialect = self._context.dialect
         outcome_headers = dialect.outcome_headers(Verdict.RAN, OK, request.request_id)
         names = {header.name for header in outcome_headers}
@@ -350,7 +365,7 @@
             *(h for h in started.headers if h.name not in names),
             *outcome_headers,
         ]
-        if self._is_closing or self._connection.is_body_due:
+        if is_closing or self._connection.is_body_due:
             headers.append(Header("connection", "close"))
         self._connection.start_answer(started.status, headers)
 
@@ -363,6 +378,7 @@
         if not self._connection.can_answer:
             await self._reset_connection()
             return
+        await self._begin_answer()
         answer = refusal_answer(error, request_id, self._context.dialect)
         headers = list(answer.headers)
         is_last = self._is_closing or isinstance(error, BadRequest)
@@ -381,8 +397,7 @@
         """Whether this is the last answer on the connection."""
         if not self._front.should_close_connections:
             return False
-        # What has arrived is answered first.
-        return not self._pipe.has_arrived_behind(self._connection)
+        return self._pipe.may_close_behind(self._connection)
 
     async def _reset_connection(self) -> None:
         """Reset the connection, so that a truncated answer does not look complete."""
--- a/packages/daemon/src/bramleyglade_daemon/front/pipe.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/pipe.py
@@ -81,10 +81,22 @@
         self._idle_task: curio.Task | None = None
         """The connection's task while it waits for the first byte of a request."""
         self._is_stopped = False
+        self._answers_past_close = 0
+        """Answers since the connection should close that left it open."""
         self._closed = curio.Event()
 
-    def has_arrived_behind(self, connection: ServerConnection) -> bool:
-        """Return whether bytes have arrived behind a connection's request."""
+    def may_close_behind(self, connection: ServerConnection) -> bool:
+        """Return whether the answer to a connection's request may be the last one.
+
+        What has arrived behind the request is answered first, but a caller that never
+        stops sending is closed upon after `MAX_AHEAD` more answers.
+        """
+        if not self._has_arrived_behind(connection):
+            return True
+        self._answers_past_close += 1
+        return self._answers_past_close > MAX_AHEAD
+
+    def _has_arrived_behind(self, connection: ServerConnection) -> bool:
         if connection is not self._tail:
             return True
         # The next request's object has taken over the bytes behind this one.
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -187,7 +187,11 @@
     run_fleet(scenario)
 
 
-def test_request_behind_an_announced_close_never_reaches_a_target(run_fleet):
+def test_close_is_announced_behind_what_arrives_before_the_turn_of_an_answer(
+    run_fleet,
+):
+    """The last answer was ready long before its turn, with the close in it."""
+
     async def scenario(fleet):
         may_answer = curio.Event()
         arrived = []
@@ -210,13 +214,51 @@
         await curio.sleep(0.1)
         await may_answer.set()
         answers = await caller.answers()
-        assert paths(answers) == ["/lookup/1", "/lookup/2"]
-        assert [is_last for *_, is_last in answers] == [False, True]
-        assert sum(sum(t.runs_by_request.values()) for t in fleet.targets) == 2
+        assert paths(answers) == ["/lookup/1", "/lookup/2", "/lookup/3"]
+        assert [is_last for *_, is_last in answers] == [False, False, True]
+        assert sum(sum(t.runs_by_request.values()) for t in fleet.targets) == 3
+
+    run_fleet(scenario)
+
+
+def test_caller_that_never_stops_sending_is_closed_upon_in_the_end(run_fleet):
+    async def scenario(fleet):
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        await caller.send(request("/lookup/0"))
+        fleet.daemons[0].context.phase = DaemonPhase.LEAVING
+        is_closed = curio.Event()
+
+        async def read():
+            while await caller.sock.recv(65_536):
+                pass
+            await is_closed.set()
+
+        reader = await curio.spawn(read)
+        while not is_closed.is_set():
+            try:
+                await caller.send(*[request(f"/lookup/{i}") for i in range(12)])
+            except OSError:
+                break
+            await curio.sleep(0.005)
+        await reader.cancel()
 
     run_fleet(scenario)
 
 
+async def keep_busy_elsewhere(fleet):
+    """Let requests to the first VM work for 2 s, at a target of the second one.
+
+    While its own target works, a daemon goes on reading.
+    """
+    slow_down(fleet, 2.0)
+    daemon = fleet.daemons[0]
+    await fleet.announcers[0].cancel()
+    await daemon.guard.drain("target-0")
+    await fleet.wait_until(
+        lambda: len(daemon.context.directory.candidates("catalogue")) == 1
+    )
+
+
 def test_leaving_daemon_answers_the_pipelined_requests_that_it_has_begun(run_fleet):
     async def scenario(fleet):
         wanted = [f"/lookup/{i}" for i in range(4)]
@@ -244,13 +286,7 @@
         context.settings = replace(
             context.settings, stop_seconds=5.0, notice_seconds=0.3
         )
-        slow_down(fleet, 2.0)
-        # While its own target works, a daemon goes on reading.
-        await fleet.announcers[0].cancel()
-        await daemon.guard.drain("target-0")
-        await fleet.wait_until(
-            lambda: len(context.directory.candidates("catalogue")) == 1
-        )
+        await keep_busy_elsewhere(fleet)
         caller = PipingCaller(fleet.settings[0].caller_address)
         await caller.send(request("/songs/1", "POST", b"body"))
         await fleet.wait_until(lambda: any(t.running for t in fleet.targets))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -22,8 +22,9 @@
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase
 from bramleyglade_core.decisions.stop_schedule import ExpectedTimes, plan_stop
 from bramleyglade_core.model.announcements import DaemonPhase
-from bramleyglade_core.model.exchange import Header
+from bramleyglade_core.model.exchange import AnswerEnded, Header
 from bramleyglade_core.model.identifiers import Address
+from bramleyglade_daemon.streams import FrontStream
 from bramleyglade_standins.local_fleet import KEY, kill_daemon, make_settings
 from bramleyglade_standins.memory_store import StoreFaults
 
@@ -378,6 +379,36 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_request_that_is_given_up_as_its_answer_arrives_is_answered(
+    run_fleet, monkeypatch, method
+):
+    """The cancellation reached the write of the answer, or the next request's wait."""
+
+    async def scenario(fleet):
+        front = fleet.daemons[0].front
+        deliver = FrontStream.deliver
+        given_up = []
+
+        async def deliver_and_give_up(stream, message):
+            await deliver(stream, message)
+            if isinstance(message, AnswerEnded) and not given_up:
+                given_up.append(message)
+                await front.give_up()
+
+        monkeypatch.setattr(FrontStream, "deliver", deliver_and_give_up)
+        client = SimpleClient(fleet.settings[0].caller_address)
+        key = (Header("x-api-key", KEY),)
+        first = await client.request(method, "/lookup/1", b"", key)
+        second = await client.request(method, "/lookup/2", b"", key)
+        assert given_up
+        assert (first.status, second.status) == (200, 200)
+        assert len(front.connections) == 1
+        await client.close()
+
+    run_fleet(scenario)
+
+
 def test_leaving_keeper_hands_over_while_its_requests_run(run_fleet):
     """A keeper that fails late in its stop leaves its teams without grants."""
 
