Read the body of a refused upload that has arrived, before the close

What callers saw: a stopping daemon refused an upload whose body had come whole, and closed the connection as the body was due; the request behind it got no answer. Evidence: the test failed before, with a length and in chunks. Up to what is kept for a retry, and for 0.05 s, the rest of the body is read before the refusal; a connection on which it is whole goes on. By reading: the schedule of a stop looked at the first service of a split route only; it looks at all of them now.

--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -32,6 +32,7 @@
 from bramleyglade_core.ports.dialect import ForwardedMetadata
 from bramleyglade_daemon.front.refusal import refusal_answer
 from bramleyglade_daemon.front.request import (
+    MAX_REPLAY_BYTES,
     AdmittedRequest,
     BodyFeeder,
     check_length,
@@ -200,12 +201,16 @@
         schedule = self._context.stop_schedule
         if schedule is None:
             return
-        expected = self._front.dispatcher.expected_times(route.service)
-        service = self._context.configuration.service_by_name.get(route.service)
-        timeout = math.inf
-        if service is not None:
-            timeout = timeout_of(metadata, route, service)
-        if not schedule.accepts(self._context.clock(), has_key, timeout, expected):
+        names = [part.service for part in route.split] or [route.service]
+        now = self._context.clock()
+        for name in names:
+            service = self._context.configuration.service_by_name.get(name)
+            timeout = math.inf
+            if service is not None:
+                timeout = timeout_of(metadata, route, service)
+            expected = self._front.dispatcher.expected_times(name)
+            if schedule.accepts(now, has_key, timeout, expected):
+                continue
             raise AttemptError(
                 ErrorCode.DAEMON_STOPPING,
                 "this VM's daemon is being stopped",
@@ -379,6 +384,8 @@
             await self._reset_connection()
             return
         await self._begin_answer()
+        if not isinstance(error, BadRequest):
+            await self._skip_arrived_body()
         answer = refusal_answer(error, request_id, self._context.dialect)
         headers = list(answer.headers)
         is_last = self._is_closing or isinstance(error, BadRequest)
@@ -392,6 +399,21 @@
         except OSError as send_error:
             _LOG.debug("CallerGone", extra={"why": str(send_error)})
 
+    async def _skip_arrived_body(self) -> None:
+        """Read the rest of a body that has arrived, and so reach what is behind it."""
+        if not self._connection.is_body_due or self._connection.expects_continue:
+            return
+        left = MAX_REPLAY_BYTES
+        try:
+            async with curio.ignore_after(_SHORT_WAIT_SECONDS):
+                while left > 0:
+                    piece = await self._pipe.receive_body(self._connection)
+                    if piece is None:
+                        return
+                    left -= len(piece)
+        except (BadRequest, OSError) as error:
+            _LOG.debug("BodyUnread", extra={"why": str(error)})
+
     @property
     def _is_closing(self) -> bool:
         """Whether this is the last answer on the connection."""
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -245,6 +245,35 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("tells_length", [True, False])
+def test_request_behind_a_refused_body_is_answered_at_a_stop(run_fleet, tells_length):
+    """The body had arrived whole, but was not read before the connection closed."""
+
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        context = daemon.context
+        context.settings = replace(
+            context.settings, stop_seconds=5.0, notice_seconds=0.3
+        )
+        await keep_busy_elsewhere(fleet)
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        await caller.send(request("/songs/1", "POST", b"body"))
+        await fleet.wait_until(lambda: any(t.running for t in fleet.targets))
+        stop = await curio.spawn(daemon.stop)
+        await fleet.wait_until(lambda: not daemon.front.is_accepting)
+        upload = request("/songs/2", "POST", b"body")
+        if not tells_length:
+            upload = b"".join(upload_head())
+        await caller.send(upload, request("/lookup/3"))
+        await fleet.wait_until(lambda: any(t.answered for t in fleet.targets))
+        answers = await caller.answers()
+        assert [status for status, _, _ in answers] == [200, 503, 503]
+        assert [is_last for *_, is_last in answers] == [False, False, True]
+        await stop.join()
+
+    run_fleet(scenario)
+
+
 async def keep_busy_elsewhere(fleet):
     """Let requests to the first VM work for 2 s, at a target of the second one.
 
