--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -229,8 +229,9 @@
                 if failed is None:
                     return
                 await attempts.prepare_retry(failed)
-        except AttemptError:
-            if attempts.fallback_answer is None:
+        except (AttemptError, curio.TaskCancelled) as error:
+            is_over = self._is_given_up or isinstance(error, AttemptError)
+            if attempts.fallback_answer is None or not is_over:
                 raise
             await self._send_complete(attempts.fallback_answer, request)
         finally:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -27,6 +27,7 @@
 from bramleyglade_daemon.streams import FrontStream
 from bramleyglade_standins.local_fleet import KEY, kill_daemon, make_settings
 from bramleyglade_standins.memory_store import StoreFaults
+from bramleyglade_standins.target_server import TargetStep
 
 STOP_SECONDS = 1.5
 NOTICE_SECONDS = 0.3
@@ -379,6 +380,36 @@
     run_fleet(scenario)
 
 
+def test_error_answer_of_a_target_is_sent_at_the_end_of_a_stop(run_fleet):
+    """Its retry, which can't end in time, used to hide it."""
+
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        shorten_stop(daemon, 0.8)
+        arrived = []
+
+        def fail_first(target):
+            async def on_step(step):
+                if step is not TargetStep.ARRIVED:
+                    return
+                arrived.append(target)
+                if len(arrived) == 1:
+                    target.behaviour = replace(target.behaviour, error_share=1.0)
+                else:
+                    await curio.sleep(5.0)
+
+            return on_step
+
+        for target in fleet.targets:
+            target.on_step = fail_first(target)
+        call = await curio.spawn(fleet.call, 0, "GET", "/lookup/1")
+        await fleet.wait_until(lambda: len(arrived) == 2)
+        await stop_and_end(daemon)
+        assert (await call.join()).status == 500
+
+    run_fleet(scenario)
+
+
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_request_that_is_given_up_as_its_answer_arrives_is_answered(
     run_fleet, monkeypatch, method
