--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -52,10 +52,12 @@
 
 
 CRASH_EVENTS = ("TaskCrashed", "CallerTaskCrashed", "ExchangeCrashed")
+CURIO_CRASH = "Task Crash"
+PRODUCT_PACKAGE = "bramleyglade_daemon"
 
 
 class CrashRecorder(logging.Handler):
-    """Keeps the log lines of crashed tasks."""
+    """Keeps the log lines of crashed tasks of the product, not of a test's own."""
 
     def __init__(self) -> None:
         super().__init__(logging.ERROR)
@@ -63,7 +65,8 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         line = self.format(record)
-        if line.startswith(CRASH_EVENTS):
+        is_curios = line.startswith(CURIO_CRASH) and PRODUCT_PACKAGE in line
+        if line.startswith(CRASH_EVENTS) or is_curios:
             self.crashes.append(line)
 
 
