--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -3,17 +3,13 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import curio
-from curio.io import Socket
 
 from bramleyglade_adapters.http.json_server import JsonServer
 from bramleyglade_core.decisions.stop_schedule import plan_stop
 from bramleyglade_core.model.announcements import DaemonPhase
-from bramleyglade_core.model.identifiers import Address
 from bramleyglade_daemon.fleet.keepers import Keepers
 from bramleyglade_daemon.fleet.member_records import MemberRecords
 from bramleyglade_daemon.fleet.member_store import MemberStore
@@ -31,11 +27,16 @@
 from bramleyglade_daemon.guard.guard import Guard, LocalGuardPort
 from bramleyglade_daemon.guard.report_reader import ReportReader
 from bramleyglade_daemon.guard.start_probe import StartProbe
+from bramleyglade_daemon.listener import Listener, accept_all
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.model.identifiers import Address
     from bramleyglade_core.model.peer_messages import HelloSaid
     from bramleyglade_daemon.fleet.context import Context
+    from bramleyglade_daemon.listener import ConnectionHandler
 
 _BACKLOG = 512
 """Connections per listener that may wait to be accepted."""
@@ -51,18 +52,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-ConnectionHandler = Callable[[Socket, Any], Awaitable[None]]
-"""Serves one connection until it ends."""
-
-
-@dataclass(frozen=True, slots=True)
-class Listener:
-    """An address to listen on and the handler of its connections."""
-
-    address: Address
-    serve: ConnectionHandler
-
-
 class Daemon:
     """Assembles the components and runs their tasks."""
 
@@ -222,7 +211,7 @@
 
     async def _listen(self, address: Address, serve: ConnectionHandler) -> curio.Task:
         sock = curio.tcp_server_socket(address.host, address.port, backlog=_BACKLOG)
-        task = await curio.spawn(_accept_all, sock, serve, daemon=True)
+        task = await curio.spawn(accept_all, sock, serve, daemon=True)
         self._tasks.append(task)
         return task
 
@@ -242,16 +231,3 @@
         except Exception:
             _LOG.exception("TaskCrashed", extra={"task": work.__qualname__})
         await curio.sleep(_RESTART_DELAY_SECONDS)
-
-
-async def _accept_all(server_socket: Socket, serve: ConnectionHandler) -> None:
-    """Accept connections until cancelled; open ones are not closed."""
-    async with server_socket:
-        while True:
-            sock, address = await server_socket.accept()
-            await curio.spawn(_serve_one, sock, address, serve, daemon=True)
-
-
-async def _serve_one(sock: Socket, address: Any, serve: ConnectionHandler) -> None:
-    async with sock:
-        await serve(sock, address)
