Lose no stop signal behind a burst of SIGHUP

What a daemon did: the interpreter writes each signal as a byte to a socket, which takes 277 of them here; when it is full, further signals are dropped. SIGHUPs in a burst while the daemon starts or is busy filled it, a SIGTERM behind them was lost, and the daemon went on until SIGKILL cut its connections. The test (2,000 SIGHUPs, then SIGTERM, before the task reads) timed out before. The handlers now keep what has come, and the bytes only wake the task. Several SIGHUPs that come together are one reload.

--- a/packages/daemon/src/bramleyglade_daemon/stop_signal.py
+++ b/packages/daemon/src/bramleyglade_daemon/stop_signal.py
@@ -11,6 +11,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from types import FrameType
+
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_WAKEUP_BYTES = 4096
+"""Wakeups to read at once; each signal is one byte."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -19,28 +24,41 @@
     """Catches SIGTERM, SIGINT and SIGHUP from its construction on.
 
     The interpreter writes the number of each signal to a socket, so the waiting
-    task needs no thread and no polling.
+    task needs no thread and no polling. The numbers only wake the task: once the
+    socket is full, further ones are lost, but their handlers run all the same.
     """
 
     def __init__(self) -> None:
         reader, self._writer = socket.socketpair()
         self._writer.setblocking(False)
         self._reader = curio_io.Socket(reader)
-        signal.set_wakeup_fd(self._writer.fileno())
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
+        self._must_stop = False
+        self._must_reload = False
+        signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
+        for number in _STOP_SIGNALS:
+            signal.signal(number, self._note_stop)
+        signal.signal(signal.SIGHUP, self._note_reload)
 
     async def wait(self, reload: Callable[[], None] | None = None) -> None:
         """Wait for SIGTERM or SIGINT.
 
         Args:
-            reload: Called at each SIGHUP; None if the settings never change.
+            reload: Called after SIGHUP, once for several that come together; None if
+                the settings never change.
         """
-        while await self._next() is signal.SIGHUP:
-            if reload is None:
-                _LOG.info("ReloadIgnored")
-            else:
-                reload()
-
-    async def _next(self) -> signal.Signals:
-        return signal.Signals((await self._reader.recv(1))[0])
+        is_stopping = False
+        while not is_stopping:
+            await self._reader.recv(_WAKEUP_BYTES)
+            is_stopping = self._must_stop
+            if self._must_reload:
+                self._must_reload = False
+                if reload is None:
+                    _LOG.info("ReloadIgnored")
+                else:
+                    reload()
+
+    def _note_stop(self, number: int, frame: FrameType | None) -> None:
+        self._must_stop = True
+
+    def _note_reload(self, number: int, frame: FrameType | None) -> None:
+        self._must_reload = True
