--- a/packages/daemon/src/bramleyglade_daemon/stop_signal.py
+++ b/packages/daemon/src/bramleyglade_daemon/stop_signal.py
@@ -52,13 +52,21 @@
             is_stopping = self._must_stop
             if self._must_reload:
                 self._must_reload = False
-                if reload is None:
-                    _LOG.info("ReloadIgnored")
-                else:
-                    reload()
+                _reload_safely(reload)
 
     def _note_stop(self, number: int, frame: FrameType | None) -> None:
         self._must_stop = True
 
     def _note_reload(self, number: int, frame: FrameType | None) -> None:
         self._must_reload = True
+
+
+def _reload_safely(reload: Callable[[], None] | None) -> None:
+    if reload is None:
+        _LOG.info("ReloadIgnored")
+        return
+    try:
+        reload()
+    except Exception:
+        # The settings in force remain, and the daemon goes on with its requests.
+        _LOG.exception("ReloadCrashed")
--- a/tests/test_stop_signal.py
+++ b/tests/test_stop_signal.py
@@ -36,6 +36,21 @@
     curio.run(main)
 
 
+def test_reload_that_fails_does_not_end_the_wait(stop_signal):
+    """An exception in a reload ended the daemon without a planned stop."""
+    reloads = []
+
+    def reload():
+        reloads.append(None)
+        if len(reloads) == 1:
+            _send(signal.SIGTERM)
+        raise RuntimeError("a bug")
+
+    _send(signal.SIGHUP)
+    _wait(stop_signal, reload)
+    assert reloads
+
+
 def test_stop_signal_behind_a_burst_of_reloads_is_not_lost(stop_signal):
     """The buffer was full of SIGHUP while the daemon was busy or starting."""
     for _ in range(_FULL_BUFFER_SIGNALS):
