--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -9,6 +9,7 @@
 import os
 import random
 
+import curio
 import pytest
 
 from bramleyglade_core.model.errors import BadInput
@@ -115,3 +116,28 @@
     os.symlink(settings_path, settings_path)
     reload()
     assert current_service() == "catalogue"
+
+
+@pytest.mark.parametrize(
+    "service", ["", " ", "deposit ", "de\\nposit", "de\\u0000posit", "\\u4e2d"]
+)
+def test_service_that_no_header_can_name_is_not_applied(
+    settings_path, reload, current_service, service
+):
+    """Each request was sent with the service in a header, and failed with 502."""
+    settings_path.write_text(
+        SETTINGS.replace('Service = "catalogue"', f'Service = "{service}"')
+    )
+    reload()
+    assert current_service() == "catalogue"
+
+
+def test_answers_go_on_after_a_service_that_no_header_can_name(run_platform_fleet):
+    async def scenario(fleet):
+        path = fleet.tmp_path / "settings-0.toml"
+        text = path.read_text(encoding="utf-8")
+        path.write_text(text.replace('Service = "catalogue"', 'Service = "\\u4e2d"'))
+        await curio.sleep(1.0)
+        assert (await fleet.call(0))[1].status == 200
+
+    run_platform_fleet(scenario)
