--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import resource
 from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
 from typing import TYPE_CHECKING
 
 import curio
@@ -122,6 +124,25 @@
     return run
 
 
+_LOWEST_DESCRIPTOR_LIMIT = 3
+
+
+@contextmanager
+def _forbid_descriptors() -> Iterator[None]:
+    old, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (_LOWEST_DESCRIPTOR_LIMIT, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (old, hard))
+
+
+@pytest.fixture
+def descriptor_limit() -> Callable[[], AbstractContextManager[None]]:
+    """Let this process open no further descriptor; open ones can be used."""
+    return _forbid_descriptors
+
+
 hypothesis.settings.register_profile(
     "repeatable", derandomize=True, deadline=None, max_examples=60, database=None
 )
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -15,6 +15,7 @@
 from bramleyglade_core.model.errors import BadInput
 from bramleyglade_platform.platform_program import PlatformProgram
 from bramleyglade_platform.platform_settings import load_platform_settings
+from bramleyglade_platform.settings_file import SettingsFile
 
 from .documents import SETTINGS
 
@@ -141,3 +142,26 @@
         assert (await fleet.call(0))[1].status == 200
 
     run_platform_fleet(scenario)
+
+
+def test_file_that_could_not_be_read_is_read_again(settings_path, descriptor_limit):
+    """A change was lost if its read failed, as at the limit on open files."""
+    file = SettingsFile(str(settings_path))
+    assert file.read().service == "catalogue"
+    settings_path.write_text(SETTINGS.replace("catalogue", "deposit"))
+    assert file.has_changed
+    with descriptor_limit(), pytest.raises(BadInput):
+        file.read()
+    assert file.has_changed
+    assert file.read().service == "deposit"
+    assert not file.has_changed
+
+
+def test_file_with_useless_content_is_not_read_again_until_it_changes(settings_path):
+    file = SettingsFile(str(settings_path))
+    settings_path.write_bytes(SETTINGS.encode()[:100])
+    with pytest.raises(BadInput):
+        file.read()
+    assert not file.has_changed
+    settings_path.write_text(SETTINGS)
+    assert file.has_changed
--- a/tests/test_descriptor_limit.py
+++ b/tests/test_descriptor_limit.py
@@ -8,9 +8,7 @@
 
 import errno
 import logging
-import resource
 import socket
-from contextlib import contextmanager
 
 import curio
 import pytest
@@ -21,7 +19,6 @@
 from bramleyglade_daemon.listener import accept_all
 from bramleyglade_standins.local_fleet import KEY
 
-LOWEST_LIMIT = 3
 LIMITED_SECONDS = 1.0
 
 
@@ -46,17 +43,6 @@
         await self._listening.close()
 
 
-@contextmanager
-def descriptor_limit(limit):
-    """Let no descriptor be opened from the limit on; open ones stay."""
-    old, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (old, hard))
-
-
 async def request_songs(connection):
     headers = (Header("host", "songs"), Header("x-api-key", KEY))
     await connection.send_head("GET", "/songs/1", headers, has_body=False)
@@ -98,12 +84,14 @@
     assert all(record.why for record in failed)
 
 
-def test_listener_at_the_descriptor_limit_does_not_spin(run_fleet, caplog):
+def test_listener_at_the_descriptor_limit_does_not_spin(
+    run_fleet, descriptor_limit, caplog
+):
     async def scenario(fleet):
         address = fleet.settings[0].caller_address
         sock = Socket(socket.socket())
         async with sock:
-            with descriptor_limit(LOWEST_LIMIT):
+            with descriptor_limit():
                 await sock.connect((address.host, address.port))
                 await curio.sleep(LIMITED_SECONDS)
             connection = ClientConnection(sock)
