Take only IP addresses as hosts

What a daemon did: the host of an address was any text. A target's report with a host name made connect look the name up in the daemon's one thread, which holds up all requests on the VM as long as the lookup takes; a host with odd characters raised TypeError, so that each attempt there ended in ExchangeCrashed and its request in 503. Address.parse, through which all settings, reports, records and tickets come, refuses them now; such a report is answered 400 and the one before it stays in force. The port takes ASCII digits only.

--- a/packages/core/src/bramleyglade_core/model/identifiers.py
+++ b/packages/core/src/bramleyglade_core/model/identifiers.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
+from ipaddress import ip_address
+
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -40,6 +44,7 @@
     """A host and a TCP port."""
 
     host: str
+    """IP address. Names are not looked up, as that would hold up all other tasks."""
     port: int
 
     def __str__(self) -> str:
@@ -50,17 +55,23 @@
         """Parse `host:port`.
 
         Args:
-            text: The address, such as `127.0.0.1:8080`.
+            text: The address, such as `127.0.0.1:8080`; the host is an IP address.
 
         Returns:
             The address.
 
         Raises:
-            ValueError: If the text has no port or the port is out of range.
+            ValueError: If the host is no IP address, or the port is missing or out of
+                range.
         """
-        host, separator, port = text.rpartition(":")
-        if not separator or not host or not port.isdigit():
+        host, _, port = text.rpartition(":")
+        if not _PORT_PATTERN.fullmatch(port):
             raise ValueError(f"expected host:port, got {text!r}")
+        try:
+            ip_address(host)
+        except ValueError:
+            message = f"expected host:port with an IP address as host, got {text!r}"
+            raise ValueError(message) from None
         if not 0 < int(port) < 65536:
             raise ValueError(f"port out of range in {text!r}")
         return cls(host, int(port))
--- a/tests/platform_adapter/test_odd_input.py
+++ b/tests/platform_adapter/test_odd_input.py
@@ -247,3 +247,14 @@
     path = tmp_path_factory.mktemp("plain") / "settings.toml"
     path.write_text(SETTINGS, encoding="utf-8")
     return load_platform_settings(str(path))
+
+
+@pytest.mark.parametrize("host", ["a\0b", "target.invalid"])
+def test_report_with_a_host_that_is_no_ip_address_is_refused(run_platform_fleet, host):
+    async def scenario(fleet):
+        answer = await fleet.report(0, Sequence=2, Address=f"{host}:80")
+        for _ in range(4):
+            assert (await fleet.call(0))[1].status == 200
+        assert answer.status == 400
+
+    run_platform_fleet(scenario, daemons=1)
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -82,9 +82,12 @@
         ("BeatIntervalS = 1.5", "BeatIntervalS = 0", "BeatIntervalS"),
         ("[7780, 7795]", "[0]", "InternalPorts"),
         ("[7780, 7795]", "[77800]", "InternalPorts"),
+        ('Ip = "10.1.0.11"', 'Ip = "vm-1"', "Ip"),
     ],
 )
-def test_number_out_of_range_is_refused(settings_path, before, after, message):
+def test_number_or_address_out_of_range_is_refused(
+    settings_path, before, after, message
+):
     settings_path.write_text(SETTINGS.replace(before, after), encoding="utf-8")
     with pytest.raises(BadInput, match=message):
         load_platform_settings(str(settings_path))
