Exit with 0 whatever signals follow the first stop signal

A first SIGTERM during the start that came within a destructor was lost, as its SystemExit is only printed there, and the daemon started. After the first stop signal all are ignored, which the interpreter leaves as it is; during the start the process ends at once.

--- a/packages/daemon/src/bramleyglade_daemon/early_signals.py
+++ b/packages/daemon/src/bramleyglade_daemon/early_signals.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
+import os
 import signal
-import sys
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -26,5 +26,6 @@
 
 
 def _exit(number: int, frame: FrameType | None) -> None:
-    # No listener is open yet, so there is no request to finish.
-    sys.exit(0)
+    # No listener is open yet, so there is no request to finish. SystemExit would be
+    # lost in a destructor, and a second signal while the interpreter ends would kill.
+    os._exit(0)
--- a/packages/daemon/src/bramleyglade_daemon/stop_signal.py
+++ b/packages/daemon/src/bramleyglade_daemon/stop_signal.py
@@ -40,7 +40,7 @@
         signal.signal(signal.SIGHUP, self._note_reload)
 
     async def wait(self, reload: Callable[[], None] | None = None) -> None:
-        """Wait for SIGTERM or SIGINT.
+        """Wait for SIGTERM or SIGINT; later signals are ignored.
 
         Args:
             reload: Called after SIGHUP, once for several that come together; None if
@@ -53,6 +53,9 @@
             if self._must_reload:
                 self._must_reload = False
                 _reload_safely(reload)
+        # While the interpreter ends, it would take its handlers back, but not these.
+        for number in (*_STOP_SIGNALS, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
 
     def _note_stop(self, number: int, frame: FrameType | None) -> None:
         self._must_stop = True
