Leave descriptors for targets when many callers are idle

What a daemon did: max_connections is 2,000, whatever the process may open. Near its limit on open files, callers took all descriptors: requests on kept connections got 503, as no connection to a target could be opened, and reports of targets and questions for readiness were not accepted. The limit of callers' connections is lowered to 0.6 of the descriptors now, with a log line. A listener for callers accepts no more than an eighth beyond that, for those that are refused; others wait in the backlog. With the usual limits of 4,096 and more nothing changes but this bound.

--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -10,6 +10,7 @@
 from bramleyglade_adapters.http.json_server import JsonServer
 from bramleyglade_core.decisions.stop_schedule import plan_stop
 from bramleyglade_core.model.announcements import DaemonPhase
+from bramleyglade_daemon.descriptors import max_open_callers
 from bramleyglade_daemon.fleet.keepers import Keepers
 from bramleyglade_daemon.fleet.member_records import MemberRecords
 from bramleyglade_daemon.fleet.member_store import MemberStore
@@ -127,7 +128,9 @@
         for listener in self.listeners:
             await self._listen(listener.address, listener.serve)
         self._caller_listener = await self._listen(
-            settings.caller_address, self.front.serve
+            settings.caller_address,
+            self.front.serve,
+            max_open_callers(settings.front),
         )
         extra = {"daemon": settings.name, "address": str(settings.peer_address)}
         _LOG.info("DaemonStarted", extra=extra)
@@ -209,9 +212,11 @@
         while self.front.busy or self.guard.busy:
             await curio.sleep(_STOP_POLL_SECONDS)
 
-    async def _listen(self, address: Address, serve: ConnectionHandler) -> curio.Task:
+    async def _listen(
+        self, address: Address, serve: ConnectionHandler, max_open: int | None = None
+    ) -> curio.Task:
         sock = curio.tcp_server_socket(address.host, address.port, backlog=_BACKLOG)
-        task = await curio.spawn(accept_all, sock, serve, daemon=True)
+        task = await curio.spawn(accept_all, sock, serve, max_open, daemon=True)
         self._tasks.append(task)
         return task
 
--- a/packages/daemon/src/bramleyglade_daemon/listener.py
+++ b/packages/daemon/src/bramleyglade_daemon/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -31,22 +32,39 @@
     serve: ConnectionHandler
 
 
-async def accept_all(server_socket: Socket, serve: ConnectionHandler) -> None:
-    """Accept connections until cancelled; open ones are not closed."""
+async def accept_all(
+    server_socket: Socket, serve: ConnectionHandler, max_open: int | None = None
+) -> None:
+    """Accept connections until cancelled; open ones are not closed.
+
+    Args:
+        server_socket: The listening socket.
+        serve: Serves each connection.
+        max_open: Number of open connections at which no more are accepted; None for no
+            limit.
+    """
+    places = curio.Semaphore(max_open or sys.maxsize)
     pause_seconds = _MIN_PAUSE_SECONDS
     async with server_socket:
         while True:
+            await places.acquire()
             try:
                 sock, address = await server_socket.accept()
             except OSError as error:
+                await places.release()
                 _LOG.warning("AcceptFailed", extra={"why": str(error)})
                 await curio.sleep(pause_seconds)
                 pause_seconds = min(2 * pause_seconds, _MAX_PAUSE_SECONDS)
                 continue
             pause_seconds = _MIN_PAUSE_SECONDS
-            await curio.spawn(_serve_one, sock, address, serve, daemon=True)
+            await curio.spawn(_serve_one, sock, address, serve, places, daemon=True)
 
 
-async def _serve_one(sock: Socket, address: Any, serve: ConnectionHandler) -> None:
-    async with sock:
-        await serve(sock, address)
+async def _serve_one(
+    sock: Socket, address: Any, serve: ConnectionHandler, places: curio.Semaphore
+) -> None:
+    try:
+        async with sock:
+            await serve(sock, address)
+    finally:
+        await places.release()
--- a/packages/daemon/src/bramleyglade_daemon/program.py
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -20,6 +20,7 @@
 from bramleyglade_core.ports.dialect import Dialect
 from bramleyglade_core.ports.store import ObjectStore
 from bramleyglade_daemon.daemon import Daemon
+from bramleyglade_daemon.descriptors import reserve_descriptors
 from bramleyglade_daemon.fleet.context import Context
 from bramleyglade_daemon.fleet.member_store import (
     next_incarnation,
@@ -68,6 +69,7 @@
 
 async def make_daemon(settings: DaemonSettings, dependencies: Dependencies) -> Daemon:
     """Assemble a daemon without starting it."""
+    settings = reserve_descriptors(settings)
     telemetry = Telemetry(settings, random.Random())
     earlier: MemberRecord | None = None
     is_history_known = True
--- a/tests/platform_adapter/fleet.py
+++ b/tests/platform_adapter/fleet.py
@@ -46,15 +46,19 @@
             await self.start_vm(index)
 
     async def start_vm(self, index):
-        target = PlatformTarget(f"i-{index}")
+        await self.add_vm(index, PlatformTarget(f"i-{index}"))
+        self.daemons.append(await self._start_daemon(index))
+        assert (await self.report(index, Sequence=0)).status == 200
+
+    async def add_vm(self, index, target):
+        """Start a target and write its daemon's settings; return the file's path."""
         address = free_address()
         await listen(address, target.answer)
         path = self.tmp_path / f"settings-{index}.toml"
         path.write_text(self._settings_text(index, address), encoding="utf-8")
         self.settings.append(load_platform_settings(str(path)))
         self.targets.append(target)
-        self.daemons.append(await self._start_daemon(index))
-        assert (await self.report(index, Sequence=0)).status == 200
+        return path
 
     async def restart_daemon(self, index):
         """Kill a daemon without notice and start another process in its place."""
