Log the end of a grace only if something is unanswered

GraceEnded was logged at each planned stop since, also at those that ended early, which misled whoever looked for requests that were given up. The new test failed before.

--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -156,7 +156,8 @@
             await self.limiter.release_all()
             await self.keepers.hand_over_all()
         await self._stop_accepting()
-        self._log_stop("GraceEnded")
+        if self.front.busy or self.guard.busy:
+            self._log_stop("GraceEnded")
         await self.front.give_up()
         async with curio.ignore_after(_LAST_ANSWERS_SECONDS):
             while self.front.busy:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import logging
 from dataclasses import replace
 
 import curio
@@ -139,8 +140,9 @@
     run_fleet(scenario)
 
 
-def test_request_that_runs_at_the_end_of_a_stop_gets_a_true_answer(run_fleet):
+def test_request_that_runs_at_the_end_of_a_stop_gets_a_true_answer(run_fleet, caplog):
     """It must not be cut off, nor be called not run."""
+    caplog.set_level(logging.INFO)
 
     async def scenario(fleet):
         daemon = fleet.daemons[0]
@@ -154,10 +156,23 @@
         assert answer.status == 502
         assert json.loads(answer.body)["code"] == "daemon-stopping"
         assert answer.header("x-fleet-verdict") == "may-have-run"
+        assert "GraceEnded" in [record.message for record in caplog.records]
 
     run_fleet(scenario)
 
 
+def test_stop_that_ends_before_its_grace_does_not_log_its_end(run_fleet, caplog):
+    async def scenario(fleet):
+        shorten_stop(fleet.daemons[0])
+        await fleet.daemons[0].stop()
+        events = [record.message for record in caplog.records]
+        assert "DaemonStopped" in events
+        assert "GraceEnded" not in events
+
+    caplog.set_level(logging.INFO)
+    run_fleet(scenario)
+
+
 async def use_only_one_vm(fleet, index):
     """Leave the requests of two VMs no target but that of one."""
     other = 1 - index
