Let an outcome go unheard without a crash

What operators saw: a traceback, curio's "Task Crash" of OutcomeResponder.send_outcome, when a front that had asked for an outcome was gone by the time it was known. Callers saw nothing: no one joins the task, the answer stays in the attempt table, and a front that only lost its link hears of that from the link. Cause: sending over a closed link raises LinkLost, or AttemptError from the credit of an abandoned stream, and nothing took it; refusals of the same guard do. Why the fix works: the error is logged as FrontUnreachable, as elsewhere in the guard, and nothing else changes. Ruled out: to keep the task of each asker and to cancel it with its stream; it ends at the attempt's deadline at the latest.

--- a/packages/daemon/src/bramleyglade_daemon/guard/outcomes.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/outcomes.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import curio
 
 from bramleyglade_core.decisions.attempt_table import AttemptPhase, AttemptRecord
-from bramleyglade_core.model.errors import ErrorCode
+from bramleyglade_core.model.errors import ErrorCode, FleetError
 from bramleyglade_core.model.exchange import AttemptFailed
 from bramleyglade_core.model.verdict import Verdict
 
@@ -17,6 +18,8 @@
     from bramleyglade_core.model.identifiers import AttemptId
     from bramleyglade_daemon.streams import GuardStream
 
+_LOG = logging.getLogger(__name__)
+
 
 class OutcomeResponder:
     """Fences attempts that have not started and replays kept answers."""
@@ -41,20 +44,23 @@
         attempt = offered.attempt
         if self._attempts.fence(attempt) is AttemptPhase.STARTED:
             await self._wait_settled(attempt, offered.deadline_seconds)
-        record = self._attempts.find(attempt)
+        try:
+            await self._replay(self._attempts.find(attempt), stream)
+        except FleetError as error:
+            # A front that only lost its link asks again.
+            _LOG.debug("FrontUnreachable", extra={"why": str(error)})
+
+    async def _wait_settled(self, attempt: AttemptId, seconds: float) -> None:
+        settled = self._settled_by_attempt.setdefault(attempt, curio.Event())
+        await curio.ignore_after(seconds, settled.wait)
+
+    async def _replay(self, record: AttemptRecord | None, stream: GuardStream) -> None:
         if record is None or record.phase is AttemptPhase.FENCED:
             failed = AttemptFailed(
                 ErrorCode.ATTEMPT_FENCED, "the attempt never started", Verdict.NOT_RUN
             )
             await stream.send(failed)
             return
-        await self._replay(record, stream)
-
-    async def _wait_settled(self, attempt: AttemptId, seconds: float) -> None:
-        settled = self._settled_by_attempt.setdefault(attempt, curio.Event())
-        await curio.ignore_after(seconds, settled.wait)
-
-    async def _replay(self, record: AttemptRecord, stream: GuardStream) -> None:
         if record.answer is not None:
             for event in record.answer:
                 await stream.send(event)
--- a/tests/test_truncated_uploads.py
+++ b/tests/test_truncated_uploads.py
@@ -167,3 +167,40 @@
 
     run_fleet(scenario)
     assert "Task Crash" not in caplog.text
+
+
+def note_askers(outcomes):
+    """Return a list to which the task and stream of each asking front are added."""
+    asking = []
+    send_outcome = outcomes.send_outcome
+
+    async def note(offered, stream):
+        asking.append((await curio.current_task(), stream))
+        await send_outcome(offered, stream)
+
+    outcomes.send_outcome = note
+    return asking
+
+
+def test_outcome_for_a_front_whose_link_is_lost_again_crashes_nothing(
+    run_fleet, caplog
+):
+    async def scenario(fleet):
+        target = fleet.targets[1]
+        target.behaviour = replace(target.behaviour, work_seconds=1.0)
+        await fleet.daemons[0].guard.drain("target-0")
+        call = await curio.spawn(fleet.call, 0, "POST", "/songs/1", b"body")
+        await fleet.wait_until(lambda: target.running)
+        asking = note_askers(fleet.daemons[1].guard.outcomes)
+        await fleet.cut_links(0, 1)
+        await fleet.wait_until(lambda: asking)
+        await fleet.cut_links(0, 1)
+        task, stream = asking[0]
+        await fleet.wait_until(lambda: stream.is_abandoned)
+        assert not task.terminated
+        await task.wait()
+        assert target.answered
+        await call.join()
+
+    run_fleet(scenario)
+    assert "Task Crash" not in caplog.text
