Hand over the other shards if a successor leaves meanwhile

What a daemon did: the list of successors was made before the first handover, and a member that left while that one was awaited raised KeyError, which ended Daemon.stop before its last record, or the early handover with its shards. Claims of orphaned shards, too, look at the stop again before each write (by reading).

--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -207,8 +207,14 @@
             return
         for keeper in granting:
             shard = keeper.assignment.shard
+            successor = rank(f"shard/{shard}", others)[0]
+            record = self._context.directory.record_by_name.get(successor)
+            if record is None:
+                # It left while an earlier shard was handed over.
+                _LOG.info("SuccessorLeft", extra={"shard": shard, "peer": successor})
+                continue
             self._epoch_by_handed_over_shard[shard] = keeper.assignment.epoch
-            await self._hand_over(keeper, rank(f"shard/{shard}", others)[0])
+            await self._hand_over(keeper, record.daemon)
         # Peers learn of the assignments at once instead of at the next poll.
         await self._shared.read_now()
         self.apply_assignments()
@@ -271,6 +277,8 @@
             return
         has_claimed = False
         for shard in self._orphans(now)[:_MAX_CLAIMS_PER_PERIOD]:
+            if self._context.is_leaving:
+                break  # The stop may have begun while an earlier claim was written.
             self._claimed_at_by_shard[shard] = now
             await self._claim(shard, self._context.view.assignment_by_shard.get(shard))
             has_claimed = True
@@ -390,13 +398,12 @@
         if handover is not None:
             keeper.accept_handover(handover, now)
 
-    async def _hand_over(self, keeper: ShardKeeper, successor: str) -> None:
+    async def _hand_over(self, keeper: ShardKeeper, successor: DaemonId) -> None:
         shard = keeper.assignment.shard
-        daemon = self._context.directory.record_by_name[successor].daemon
-        assignment = KeeperAssignment(shard, daemon, keeper.assignment.epoch + 1)
+        assignment = KeeperAssignment(shard, successor, keeper.assignment.epoch + 1)
         try:
             handover = keeper.hand_over(assignment)
-            await self._peers.call(successor, handover, ANSWER_TIMEOUT_SECONDS)
+            await self._peers.call(successor.name, handover, ANSWER_TIMEOUT_SECONDS)
         except FleetError as error:
             _LOG.info("HandoverUnheard", extra={"shard": shard, "why": str(error)})
         await self._write(assignment, self._context.view.assignment_by_shard[shard])
