--- a/benchmarks/stop_soak/callers.py
+++ b/benchmarks/stop_soak/callers.py
@@ -82,16 +82,19 @@
                     self._address.host, self._address.port
                 )
                 async with sock:
-                    while time.time() < ends_at and await self._call(sock):
+                    while await self._call(sock, ends_at):
                         pass
             except OSError:
                 await curio.sleep(_RECONNECT_SECONDS)
 
-    async def _call(self, sock: Socket) -> bool:
+    async def _call(self, sock: Socket, ends_at: float) -> bool:
         """Send one or two requests; return whether the connection can be used on."""
         pause = self._random.expovariate(1.0 / self._pause)
+        pause = max(0.0, min(pause, ends_at - time.time()))
         if await curio.ignore_after(pause, sock.recv, 1) is not None:
             return False  # The daemon has closed the connection.
+        if time.time() >= ends_at:
+            return False
         is_open = True
         for call in await self._send(sock, self._draw_calls()):
             status, code = 0, "closed after the answer before"
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -8,7 +8,7 @@
 from benchmarks.stop_soak.trouble import Mode
 
 SETTINGS = PlaySettings(
-    seed=7, mode=Mode(pair_share=0.0), seconds=16.0, daemons=5, first_port=28_000
+    seed=7, mode=Mode(pair_share=0.3), seconds=20.0, daemons=5, first_port=28_000
 )
 
 
