Make the test of a successor that has left independent of who keeps what

The test of asked for two shards at one keeper, which the draw need not give; it failed before and after the fix. This one fails with KeyError without the fix.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -536,22 +536,14 @@
     run_fleet(scenario, daemons=3, zones=1)
 
 
-def test_successor_that_leaves_during_a_handover_does_not_end_the_stop(run_fleet):
+def test_successor_that_has_left_does_not_end_the_stop(run_fleet):
     """The stop ended with an exception, and the process without its last record."""
 
     async def scenario(fleet):
         daemon = max(fleet.daemons, key=lambda d: len(d.keepers._keeper_by_shard))
-        assert len(daemon.keepers._keeper_by_shard) > 1
-        directory = daemon.context.directory
-        call = daemon.peers.call
-
-        async def call_and_lose_members(name, message, timeout_seconds):
-            for settings in fleet.settings:
-                if settings.name != daemon.context.settings.name:
-                    directory.record_by_name.pop(settings.name, None)
-            return await call(name, message, timeout_seconds)
-
-        daemon.peers.call = call_and_lose_members
+        assert daemon.keepers._keeper_by_shard
+        own_name = daemon.context.settings.name
+        daemon.context.directory.serving_names = lambda: [own_name, "vm-gone"]
         daemon.context.phase = DaemonPhase.LEAVING
         await daemon.keepers.hand_over_all()
 
