Take a slow attempt's own verdict once it has ended

What callers saw: 502 may-have-run for requests that had run nowhere: an attempt that waits in its guard's queue looks slow, was booked as may-have-run when it was set aside, and the guard's refusal was dropped. The test got 502 in the place of 503 before. An open attempt counts as may-have-run while it is open, and by its own verdict after that; SlowAttemptFailed logs it.

--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -105,7 +105,7 @@
         self._candidate: Candidate | None = None
         """Target of the attempt that was made last."""
         self._upload: curio.Task | None = None
-        self._open = OpenAttempts(self._context.picker, self._note_failure)
+        self._open = OpenAttempts(self._context.picker, self._note_set_aside_failure)
         self.fallback_answer: BufferedAnswer | None = None
         """A target's error answer, sent to the caller if no retry succeeds."""
 
@@ -118,7 +118,7 @@
     @property
     def verdict(self) -> Verdict:
         """Whether the request may have run, by all attempts up to now."""
-        if self._is_unsettled:
+        if self._is_unsettled or self._open.has_others:
             return self._verdict.combined_with(Verdict.MAY_HAVE_RUN)
         return self._verdict
 
@@ -300,11 +300,11 @@
         await self._end_upload()
         if self._open.current is not None:
             self._note_failure(self._open.current, failed)
-        self._verdict = self._verdict.combined_with(failed.verdict)
         self._is_unsettled = False
         if failed.code is ErrorCode.TARGET_SLOW:
             self._open.set_aside()
         else:
+            self._verdict = self._verdict.combined_with(failed.verdict)
             await self._open.end_current()
         if not self._must_go_back and await self._may_retry(failed):
             self._hop.set_attribute("retry.after", failed.code.value)
@@ -312,7 +312,7 @@
             self._must_go_back = True
         else:
             raise AttemptError(
-                failed.code, failed.detail, self._verdict, failed.retry_after
+                failed.code, failed.detail, self.verdict, failed.retry_after
             )
 
     def _note_failure(self, attempt: OpenAttempt, failed: AttemptFailed) -> None:
@@ -324,6 +324,20 @@
         if failed.code in _TRANSIENT_CODES:
             self._tried.discard(target)
 
+    def _note_set_aside_failure(
+        self, attempt: OpenAttempt, failed: AttemptFailed
+    ) -> None:
+        """Record how a slow attempt ended, which its guard may not have started."""
+        self._verdict = self._verdict.combined_with(failed.verdict)
+        self._note_failure(attempt, failed)
+        extra = {
+            "request": self._request.request_id,
+            "target": attempt.candidate.target.name,
+            "code": failed.code.value,
+            "verdict": failed.verdict.value,
+        }
+        _LOG.info("SlowAttemptFailed", extra=extra)
+
     @property
     def _may_go_back(self) -> bool:
         return self._open.has_others and not self._is_over
@@ -344,7 +358,7 @@
             raise AttemptError(
                 ErrorCode.NO_TARGET,
                 "no target can take the request",
-                self._verdict,
+                self.verdict,
                 retry_after=_NO_TARGET_RETRY_SECONDS,
             )
         self._must_go_back = True
--- a/tests/test_slow_attempts.py
+++ b/tests/test_slow_attempts.py
@@ -16,8 +16,9 @@
 from bramleyglade_adapters.link.link import LinkLost
 from bramleyglade_core.model.announcements import DaemonPhase
 from bramleyglade_core.model.errors import ErrorCode
-from bramleyglade_core.model.exchange import AnswerEnded, Header
+from bramleyglade_core.model.exchange import AnswerEnded, AttemptFailed, Header
 from bramleyglade_core.model.identifiers import TargetId
+from bramleyglade_core.model.verdict import Verdict
 from bramleyglade_daemon.front import caller_exchange
 from bramleyglade_daemon.front.attempts import Attempts
 from bramleyglade_daemon.front.guard_ports import RemoteGuardPort
@@ -291,6 +292,31 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("verdict", [Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN])
+def test_slow_attempt_that_was_never_started_leaves_the_request_not_run(
+    run_fleet, verdict
+):
+    """It waited in its guard's queue, and was refused when its target left."""
+
+    async def scenario(fleet):
+        held, call = await start_call(fleet)
+        slow = held.arrived[0]
+        front = fleet.daemons[0].front
+        for daemon in fleet.daemons:
+            if slow.announced.name not in daemon.guard.runner_by_name:
+                daemon.context.phase = DaemonPhase.LEAVING
+        await fleet.wait_until(lambda: has_slow(front))
+        failed = AttemptFailed(ErrorCode.TARGET_DRAINING, "the target leaves", verdict)
+        for connection in front.connections:
+            for exchange in connection._exchanges:
+                await exchange._attempts.stream.deliver(failed)
+        answer = await call.join()
+        assert answer.status == (503 if verdict is Verdict.NOT_RUN else 502)
+        assert answer.header("x-fleet-verdict") == verdict.value
+
+    run_fleet(scenario)
+
+
 def open_attempts(front):
     return sum(
         len(exchange._attempts._open._attempts)
