Say may-have-run of a request that is given up after it went back to a slow target

A refusal that says not-run must be true. Since an attempt that is slow counts only once it has ended, and the end of the attempts did not count those that were still open; the test got 503 not-run for a request that its target had. Found in the read-through.

--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -118,7 +118,7 @@
     @property
     def verdict(self) -> Verdict:
         """Whether the request may have run, by all attempts up to now."""
-        if self._is_unsettled or self._open.has_others:
+        if self._is_unsettled or not self._open.is_empty:
             return self._verdict.combined_with(Verdict.MAY_HAVE_RUN)
         return self._verdict
 
@@ -281,6 +281,7 @@
 
     async def end(self) -> None:
         """End all attempts; does nothing if they have already ended."""
+        self._verdict = self.verdict
         await self._open.end_all()
         await self._end_upload()
 
--- a/packages/daemon/src/bramleyglade_daemon/front/open_attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/open_attempts.py
@@ -51,6 +51,11 @@
         self.current: OpenAttempt | None = None
         """The newest, or the one whose answer is received; None between two."""
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no attempt is open."""
+        return not self._attempts
+
     @property
     def has_others(self) -> bool:
         """Whether an attempt other than the current one is open."""
--- a/tests/test_slow_attempts.py
+++ b/tests/test_slow_attempts.py
@@ -317,6 +317,25 @@
     run_fleet(scenario)
 
 
+def test_request_that_went_back_to_a_slow_target_and_is_given_up_may_have_run(
+    run_fleet,
+):
+    async def scenario(fleet):
+        held, call = await start_call(fleet)
+        slow = held.arrived[0]
+        front = fleet.daemons[0].front
+        for daemon in fleet.daemons:
+            if slow.announced.name not in daemon.guard.runner_by_name:
+                daemon.context.phase = DaemonPhase.LEAVING
+        await fleet.wait_until(lambda: has_slow(front))
+        await front.give_up()
+        answer = await call.join()
+        assert answer.status == 502
+        assert answer.header("x-fleet-verdict") == "may-have-run"
+
+    run_fleet(scenario)
+
+
 def open_attempts(front):
     return sum(
         len(exchange._attempts._open._attempts)
