--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -250,17 +250,7 @@
     """The body had arrived whole, but was not read before the connection closed."""
 
     async def scenario(fleet):
-        daemon = fleet.daemons[0]
-        context = daemon.context
-        context.settings = replace(
-            context.settings, stop_seconds=5.0, notice_seconds=0.3
-        )
-        await keep_busy_elsewhere(fleet)
-        caller = PipingCaller(fleet.settings[0].caller_address)
-        await caller.send(request("/songs/1", "POST", b"body"))
-        await fleet.wait_until(lambda: any(t.running for t in fleet.targets))
-        stop = await curio.spawn(daemon.stop)
-        await fleet.wait_until(lambda: not daemon.front.is_accepting)
+        caller, stop = await start_at_the_end_of_reading(fleet)
         upload = request("/songs/2", "POST", b"body")
         if not tells_length:
             upload = b"".join(upload_head())
@@ -274,18 +264,28 @@
     run_fleet(scenario)
 
 
-async def keep_busy_elsewhere(fleet):
-    """Let requests to the first VM work for 2 s, at a target of the second one.
+async def start_at_the_end_of_reading(fleet):
+    """Send a request that is in progress when a stopping daemon reads no more.
 
-    While its own target works, a daemon goes on reading.
+    It works at a target of the other VM; while its own target works, a daemon goes on
+    reading.
+
+    Returns:
+        The caller, and the task of the stop.
     """
-    slow_down(fleet, 2.0)
     daemon = fleet.daemons[0]
+    context = daemon.context
+    context.settings = replace(context.settings, stop_seconds=5.0, notice_seconds=0.3)
+    slow_down(fleet, 2.0)
     await fleet.announcers[0].cancel()
     await daemon.guard.drain("target-0")
-    await fleet.wait_until(
-        lambda: len(daemon.context.directory.candidates("catalogue")) == 1
-    )
+    await fleet.wait_until(lambda: len(context.directory.candidates("catalogue")) == 1)
+    caller = PipingCaller(fleet.settings[0].caller_address)
+    await caller.send(request("/songs/1", "POST", b"body"))
+    await fleet.wait_until(lambda: any(t.running for t in fleet.targets))
+    stop = await curio.spawn(daemon.stop)
+    await fleet.wait_until(lambda: not daemon.front.is_accepting)
+    return caller, stop
 
 
 def test_leaving_daemon_answers_the_pipelined_requests_that_it_has_begun(run_fleet):
@@ -310,17 +310,7 @@
     """Its connection was closed long after it had come, without an answer."""
 
     async def scenario(fleet):
-        daemon = fleet.daemons[0]
-        context = daemon.context
-        context.settings = replace(
-            context.settings, stop_seconds=5.0, notice_seconds=0.3
-        )
-        await keep_busy_elsewhere(fleet)
-        caller = PipingCaller(fleet.settings[0].caller_address)
-        await caller.send(request("/songs/1", "POST", b"body"))
-        await fleet.wait_until(lambda: any(t.running for t in fleet.targets))
-        stop = await curio.spawn(daemon.stop)
-        await fleet.wait_until(lambda: not daemon.front.is_accepting)
+        caller, stop = await start_at_the_end_of_reading(fleet)
         await caller.send(request("/songs/2", "POST", b"body"))
         await fleet.wait_until(lambda: any(t.answered for t in fleet.targets))
         answers = await caller.answers()
--- a/tests/test_slow_attempts.py
+++ b/tests/test_slow_attempts.py
@@ -70,17 +70,24 @@
     return held, call
 
 
-def refuse_all_but(fleet, target):
+def fail_all_but(fleet, target):
     for other in fleet.targets:
         if other is not target:
             other.behaviour = replace(other.behaviour, reset_share=1.0)
 
 
+def refuse_offers_elsewhere(fleet, target):
+    """Let all guards but a target's refuse offers, which fronts don't know yet."""
+    for daemon in fleet.daemons:
+        if target.announced.name not in daemon.guard.runner_by_name:
+            daemon.context.phase = DaemonPhase.LEAVING
+
+
 def test_answer_of_a_slow_target_is_delivered_if_its_retry_fails(run_fleet):
     async def scenario(fleet):
         held, call = await start_call(fleet)
         slow = held.arrived[0]
-        refuse_all_but(fleet, slow)
+        fail_all_but(fleet, slow)
         await held.wait_for(2)
         for other in fleet.targets:
             if other is not slow:
@@ -101,10 +108,7 @@
         held, call = await start_call(fleet)
         slow = held.arrived[0]
         front = fleet.daemons[0].front
-        for daemon in fleet.daemons:
-            if slow.announced.name not in daemon.guard.runner_by_name:
-                # Its guard refuses offers, which other daemons don't know yet.
-                daemon.context.phase = DaemonPhase.LEAVING
+        refuse_offers_elsewhere(fleet, slow)
         await fleet.wait_until(lambda: has_retried(front))
         await held.let_go(slow)
         assert (await call.join()).status == 200
@@ -302,9 +306,7 @@
         held, call = await start_call(fleet)
         slow = held.arrived[0]
         front = fleet.daemons[0].front
-        for daemon in fleet.daemons:
-            if slow.announced.name not in daemon.guard.runner_by_name:
-                daemon.context.phase = DaemonPhase.LEAVING
+        refuse_offers_elsewhere(fleet, slow)
         await fleet.wait_until(lambda: has_slow(front))
         failed = AttemptFailed(ErrorCode.TARGET_DRAINING, "the target leaves", verdict)
         for connection in front.connections:
@@ -324,9 +326,7 @@
         held, call = await start_call(fleet)
         slow = held.arrived[0]
         front = fleet.daemons[0].front
-        for daemon in fleet.daemons:
-            if slow.announced.name not in daemon.guard.runner_by_name:
-                daemon.context.phase = DaemonPhase.LEAVING
+        refuse_offers_elsewhere(fleet, slow)
         await fleet.wait_until(lambda: has_slow(front))
         await front.give_up()
         answer = await call.join()
