--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 READY := .venv/ready
 
-.PHONY: setup test lint format demo bench faults capacity plots mutations regression fuzz
+.PHONY: setup test lint format demo bench faults capacity plots mutations regression fuzz soak
 setup: $(READY)
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -42,6 +42,10 @@
 fuzz: setup
 	$(BIN)/python -m benchmarks.exchange_fuzzer --minutes $(or $(MINUTES),1) $(if $(SEED),--seed $(SEED))
 
+# Plays daemons that stop and restart under load; exits with 1 if a rule is broken.
+soak: setup
+	$(BIN)/python -m benchmarks.stop_soak --seed $(or $(SEED),1) --mode $(or $(MODE),calm)
+
 mutations: setup
 	$(BIN)/python -m benchmarks.mutations
 
