Count no request as lost that its daemon answered after its timeout

The soak counted a request without a run whose caller had stopped waiting, whatever its timeout; the rule leaves out what has reached its deadline or the route's timeout.

--- a/benchmarks/stop_soak/judge.py
+++ b/benchmarks/stop_soak/judge.py
@@ -113,8 +113,10 @@
 ) -> Iterator[str]:
     seconds = call.ended_at - call.sent_at
     is_over = seconds >= call.kind.timeout_seconds - _SLACK_SECONDS
-    if not call.status and runs:
-        yield "unanswered at the timeout" if is_over else "LOST (passed on)"
+    if not call.status and is_over:
+        yield "unanswered at the timeout"
+    elif not call.status and runs:
+        yield "LOST (passed on)"
     elif not call.status and seconds > _CROSSING_SECONDS:
         yield "LOST (second of a pair)" if call.is_second else "LOST (read)"
     elif call.status in (502, 504) and call.code != "ok" and runs and not is_over:
