--- a/tests/platform_adapter/test_platform_decoding.py
+++ b/tests/platform_adapter/test_platform_decoding.py
@@ -8,6 +8,7 @@
 
 from bramleyglade_core.decisions.admission import hash_key
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.model.entities import Route
 from bramleyglade_core.model.errors import BadInput, BadRequest, RouteRefused
 from bramleyglade_core.model.exchange import AnswerStarted, Header
 from bramleyglade_core.model.settings import OutagePolicy
@@ -115,6 +116,22 @@
         decode_configuration({**CONFIGURATION, **changes}, platform_settings)
 
 
+@pytest.mark.parametrize(
+    ("route_type", "is_idempotent"),
+    [("safe", True), ("download", True), ("unsafe", False), ("upload", False)],
+)
+def test_route_type_decides_what_may_be_repeated(
+    platform_settings, route_type, is_idempotent
+):
+    """An unknown type had the whole version of the configuration refused."""
+    routes = {"r": {**CONFIGURATION["Routes"]["r-search"], "RouteType": route_type}}
+    ticket = decode_configuration(
+        {**CONFIGURATION, "Routes": routes}, platform_settings
+    )
+    (route,) = [e for e in ticket.entities if isinstance(e, Route)]
+    assert route.is_idempotent("GET") is is_idempotent
+
+
 def test_report_is_decoded():
     report = decode_report("i-1", json.dumps(REPORT).encode(), NOW_SECONDS)
     assert report.announced.instance == "i-1"
