Give a target all its slots once it has stated that it is warm

Without a configured cold rate, a target's concurrency was ramped up from one request, by one step for each twelve answers, and halved at each failure. A target that reports how long it is still cold needs no ramp afterwards; while it is cold, and where it reports nothing, the ramp holds as before.

Ruled out: processor time (0.06 to 0.09 of 0.43 cores used on average).

--- a/packages/core/src/bramleyglade_core/decisions/cold_rate_limiter.py
+++ b/packages/core/src/bramleyglade_core/decisions/cold_rate_limiter.py
@@ -12,7 +12,8 @@
 
     def __init__(self) -> None:
         self._sent_at: deque[float] = deque()
-        self._cold_until = float("-inf")
+        self._cold_until: float | None = None
+        """When the target will be warm, as it has stated; None before it has."""
 
     def note_cold(self, until: float) -> None:
         """Set the time until which the target is cold, by this process's clock."""
@@ -20,7 +21,11 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold."""
-        return now < self._cold_until
+        return self._cold_until is not None and now < self._cold_until
+
+    def is_known_warm(self, now: float) -> bool:
+        """Return whether the target has stated that it is warm by now."""
+        return self._cold_until is not None and now >= self._cold_until
 
     def note_sent(self, now: float) -> None:
         """Count a request that is sent to the target."""
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -474,9 +474,11 @@
     def _limit(self) -> int:
         if self.health.phase(self.clock()) is HealthPhase.TRIAL:
             return _MAX_CONCURRENT_TRIALS
-        # A configured cold rate limits a cold target; without one, the ramp does.
+        # A configured cold rate limits a cold target; without one, the ramp does. Where
+        # an answer takes a second, the ramp needs longer than most targets are cold.
         limit = self.ramp.limit
-        if self._cold_per_second is not None:
+        is_warm = self.cold.is_known_warm(self.clock())
+        if self._cold_per_second is not None or is_warm:
             limit = self.announced.slots
         return min(limit, self.announced.connections)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import resource
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
@@ -12,6 +13,16 @@
 import hypothesis
 import pytest
 
+from bramleyglade_adapters.telemetry import Telemetry
+from bramleyglade_core.decisions.attempt_table import AttemptTable
+from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.model.announcements import TargetAnnouncement
+from bramleyglade_core.model.entities import Zone
+from bramleyglade_core.model.identifiers import Address
+from bramleyglade_core.model.tickets import Ticket
+from bramleyglade_daemon.fleet.context import Context
+from bramleyglade_daemon.guard.outcomes import OutcomeResponder
+from bramleyglade_daemon.guard.target_runner import TargetRunner
 from bramleyglade_standins.local_fleet import (
     LocalFleet,
     first_ticket,
@@ -19,10 +30,10 @@
     make_settings,
     shorten_terms,
 )
+from bramleyglade_standins.memory_store import MemoryStore
 
 if TYPE_CHECKING:
     from bramleyglade_core.model.settings import DaemonSettings
-    from bramleyglade_core.model.tickets import Ticket
     from bramleyglade_core.model.verdict import Verdict
 
 TEST_SECONDS = 60.0
@@ -53,6 +64,18 @@
     )
 
 
+@pytest.fixture
+def runner(settings: DaemonSettings, clock: SettableClock) -> TargetRunner:
+    """Create the runner of a target in a zone in use, on a simulated clock."""
+    telemetry = Telemetry(settings, random.Random(1))
+    context = Context(settings, MemoryStore(), telemetry, clock=clock)
+    ticket = Ticket(1, "", (Zone(settings.zone, "r"),))
+    context.view.configuration = EMPTY_CONFIGURATION.merged(ticket.states())
+    attempts = AttemptTable(settings.guard, clock)
+    announced = TargetAnnouncement("t", "s", Address("127.0.0.1", 1), slots=4)
+    return TargetRunner(announced, context, attempts, OutcomeResponder(attempts))
+
+
 CRASH_EVENTS = ("TaskCrashed", "CallerTaskCrashed", "ExchangeCrashed")
 CURIO_CRASH = "Task Crash"
 PRODUCT_PACKAGE = "bramleyglade_daemon"
--- a/tests/test_idle_targets.py
+++ b/tests/test_idle_targets.py
@@ -2,42 +2,21 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import replace
 
 import pytest
 
-from bramleyglade_adapters.telemetry import Telemetry
-from bramleyglade_core.decisions.attempt_table import AttemptTable
-from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
 from bramleyglade_core.decisions.idle_tracker import IdleTracker
 from bramleyglade_core.decisions.picker import PickOptions
 from bramleyglade_core.model.announcements import TargetAnnouncement
-from bramleyglade_core.model.entities import Zone
 from bramleyglade_core.model.identifiers import Address, TargetId
 from bramleyglade_core.model.settings import HealthSettings
-from bramleyglade_core.model.tickets import Ticket
-from bramleyglade_daemon.fleet.context import Context
-from bramleyglade_daemon.guard.outcomes import OutcomeResponder
-from bramleyglade_daemon.guard.target_runner import TargetRunner
 from bramleyglade_standins.local_fleet import free_address
-from bramleyglade_standins.memory_store import MemoryStore
 from tests.failing_service import FailingService, Load
 
 ANNOUNCED = TargetAnnouncement("t", "s", Address("127.0.0.1", 1), 4)
 
 
-@pytest.fixture
-def runner(settings, clock):
-    """Create the runner of a target in a zone in use, on a simulated clock."""
-    telemetry = Telemetry(settings, random.Random(1))
-    context = Context(settings, MemoryStore(), telemetry, clock=clock)
-    ticket = Ticket(1, "", (Zone(settings.zone, "r"),))
-    context.view.configuration = EMPTY_CONFIGURATION.merged(ticket.states())
-    attempts = AttemptTable(settings.guard, clock)
-    return TargetRunner(ANNOUNCED, context, attempts, OutcomeResponder(attempts))
-
-
 def test_idle_target_is_logged_once_with_its_phase_and_risk(runner, clock, caplog):
     caplog.set_level("INFO")
     runner.note_head(0.1, is_error=True)
