Serve calls of executing requests before new work at guards

A call that waited behind new work was rejected or came too late, and the work of its parent request was lost. The front now marks a request as a call if it comes from its own VM, without a key, on a route open to all, while a target of the VM executes a request (AttemptOffered.isCall @18). A guard queues calls ahead of all priorities, evicts new work for them from a full queue, and does not put them last when their route's objective has passed.

Requests that are not calls are queued as before.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -213,6 +213,7 @@
   objectiveSeconds @15 :Float64;
   sentAt @16 :Float64;
   isForDue @17 :Bool;
+  isCall @18 :Bool;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/core/src/bramleyglade_core/decisions/admission.py
+++ b/packages/core/src/bramleyglade_core/decisions/admission.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.model.errors import ErrorCode, KeyRefused
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.model.entities import Route, Team
 
@@ -53,3 +56,19 @@
             ErrorCode.KEY_NOT_ALLOWED, "the key's team may not use this route"
         )
     return team
+
+
+def is_own_vm(host: str, own_host: str, target_hosts: Container[str]) -> bool:
+    """Return whether a connection comes from the VM that accepted it.
+
+    Args:
+        host: Address of the connection's other end.
+        own_host: Address at which the connection was accepted.
+        target_hosts: Addresses of the targets on this VM.
+    """
+    if host == own_host or host in target_hosts:
+        return True
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
--- a/packages/core/src/bramleyglade_core/model/exchange.py
+++ b/packages/core/src/bramleyglade_core/model/exchange.py
@@ -55,6 +55,8 @@
     """
     sent_at: float = 0.0
     """Time of sending by the front's clock, in seconds."""
+    is_call: bool = False
+    """Whether a target sent the request while it executed another one."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -464,6 +464,7 @@
             is_for_due=pick.is_for_due,
             objective_seconds=self._objective_left(),
             sent_at=self._context.clock(),
+            is_call=request.is_call,
         )
 
     def _objective_left(self) -> float | None:
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -11,7 +11,7 @@
 import curio
 
 from bramleyglade_adapters.telemetry import traceparent_of
-from bramleyglade_core.decisions.admission import authenticate
+from bramleyglade_core.decisions.admission import authenticate, is_own_vm
 from bramleyglade_core.decisions.routing import check_headers, check_path
 from bramleyglade_core.model.errors import (
     AttemptError,
@@ -191,9 +191,25 @@
             deadline=arrived_at + timeout_of(metadata, route, service),
             headers=self._context.dialect.forwarded_headers(head.headers, forwarded),
             priority=_priority(route, team),
+            is_call=self._is_call(route, metadata),
             arrived_at=arrived_at,
         )
 
+    def _is_call(self, route: Route, metadata: CallerMetadata) -> bool:
+        """Return whether a target on this VM sent the request during an execution."""
+        if not route.open_to_all or metadata.key:
+            return False
+        if not self._front.dispatcher.is_executing:
+            return False
+        sock = self._connection.sock
+        try:
+            host, own_host = sock.getpeername()[0], sock.getsockname()[0]
+        except OSError as error:
+            _LOG.debug("CallerGone", extra={"why": str(error)})
+            return False
+        hosts = {target.address.host for target in self._context.targets}
+        return is_own_vm(host, own_host, hosts)
+
     def _check_stop(
         self, metadata: CallerMetadata, route: Route, has_key: bool
     ) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -57,6 +57,11 @@
         """Spend one retry of the service's budget; False if it is used up."""
         return await self._retries.try_spend(request.service.name, verdict)
 
+    @property
+    def is_executing(self) -> bool:
+        """Whether a target on this VM executes a request, which may make calls."""
+        return self._ports.is_executing
+
     def port(self, candidate: Candidate) -> AttemptPort:
         """Return the port of a target's guard."""
         return self._ports.find(candidate.target.daemon)
--- a/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
@@ -89,6 +89,11 @@
         """Update this front's view of the load of the targets on its VM."""
         self._local.refresh_views()
 
+    @property
+    def is_executing(self) -> bool:
+        """Whether a target on this VM executes a request."""
+        return self._local.is_executing
+
     def find(self, name: str) -> AttemptPort:
         """Return the port of a guard, by its current record in the directory."""
         if name == self._context.settings.name:
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -49,6 +49,8 @@
     """Headers for the target, without the key."""
     priority: int = 0
     """Priority of the request; 0 is the most urgent."""
+    is_call: bool = False
+    """Whether a target on this VM sent it while it executed another request."""
     arrived_at: float = 0.0
     """When the head was read, by this process's clock, in seconds."""
 
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -65,6 +65,12 @@
         runners = (*self.runner_by_name.values(), *self._withdrawn)
         return sum(runner.busy for runner in runners)
 
+    @property
+    def is_executing(self) -> bool:
+        """Whether a target executes a request, those of withdrawn targets included."""
+        runners = (*self.runner_by_name.values(), *self._withdrawn)
+        return any(runner.running for runner in runners)
+
     def views(self) -> tuple[TargetViewTold, ...]:
         """Return load and health of all targets."""
         return tuple(runner.view() for runner in self.runner_by_name.values())
@@ -346,6 +352,11 @@
         """Whether an offer needs no new link; a call to this process never does."""
         return True
 
+    @property
+    def is_executing(self) -> bool:
+        """Whether a target on this VM executes a request."""
+        return self._guard.is_executing
+
     async def offer(self, offered: AttemptOffered) -> FrontStream:
         """Offer an attempt."""
         front, guard_end = make_local_streams(self._window)
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -29,6 +29,7 @@
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.attempt_table import AttemptTable
     from bramleyglade_core.model.announcements import TargetAnnouncement
+    from bramleyglade_core.model.exchange import AttemptOffered
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.guard.exchange import AnswerRecorder, QueuedAttempt
     from bramleyglade_daemon.guard.outcomes import OutcomeResponder
@@ -52,6 +53,10 @@
 """Change of a target's log latency that is published to all fronts. The smoothed
 latency of a target in a steady state varies by less."""
 
+_CALL_RANK = -1
+"""Queue rank of calls of executing requests: before all new work. If such a call is
+rejected, the work that its parent request has done so far is lost."""
+
 _MAX_CONCURRENT_TRIALS = 1
 """Concurrency limit of a target on trial."""
 
@@ -162,9 +167,10 @@
         self._check_front_conditions(item)
         self._check_wait(item)
         offered = item.offered
-        evicted = self._queue.push(
-            offered.team, item, offered.priority, item.objective_at
-        )
+        # A late answer to a call still completes its parent request, so a call is
+        # not put last when it misses its objective.
+        objective_at = None if offered.is_call else item.objective_at
+        evicted = self._queue.push(offered.team, item, _rank(offered), objective_at)
         if evicted is item:
             raise AttemptError(
                 ErrorCode.QUEUE_FULL, "the target's queue is full", retry_after=1.0
@@ -524,7 +530,7 @@
             raise AttemptError(
                 ErrorCode.TARGET_SUSPECT, "the target's risk of failure is too high"
             )
-        if offered.must_start_now and not self._is_free:
+        if offered.must_start_now and not self._is_free_for(offered):
             raise AttemptError(ErrorCode.TARGET_BUSY, "no slot is free")
 
     @property
@@ -534,6 +540,15 @@
             return False
         return self._rate_wait() <= 0
 
+    def _is_free_for(self, offered: AttemptOffered) -> bool:
+        """Whether an attempt would start at once, ahead of those it precedes."""
+        if not offered.is_call:
+            return self._is_free
+        ahead = self._queue.ahead_of(_CALL_RANK)
+        if ahead or len(self._running) >= self._limit():
+            return False
+        return self._rate_wait() <= 0
+
     def _rate_wait(self, ahead: int = 0) -> float:
         """Return how long a request waits for the cold rate and the named rate.
 
@@ -553,7 +568,7 @@
         An attempt that misses its latency objective is worth little, and would
         delay those queued behind it.
         """
-        ahead = self._queue.ahead_of(item.offered.priority)
+        ahead = self._queue.ahead_of(_rank(item.offered))
         wait = self.rate.wait_seconds(self.clock(), ahead)
         seconds = self._seconds_per_exchange or 0.0
         if len(self._queue):
@@ -561,7 +576,7 @@
         if not wait:
             return
         remaining_seconds = item.deadline - self.clock()
-        if item.offered.objective_seconds is not None:
+        if item.offered.objective_seconds is not None and not item.offered.is_call:
             remaining_seconds = min(remaining_seconds, item.offered.objective_seconds)
         if _WAIT_MARGIN * (wait + seconds) > remaining_seconds:
             raise AttemptError(
@@ -639,3 +654,8 @@
         for worker in list(self._running):
             if worker.current is item:
                 await worker.cancel_current()
+
+
+def _rank(offered: AttemptOffered) -> int:
+    """Return the rank of an attempt in the queue."""
+    return _CALL_RANK if offered.is_call else offered.priority
