Serve requests only in the regions that their route and team list

A route or a team may have to be served in some regions only (AllowedRegions on the platform). Routes and teams have a list of regions, empty for all. If both list regions, both apply. The front filters the candidates of a request by them, for the first attempt, retries, slow attempts and the way back to a slow target; bodies go only to these candidates. Lists that were tightened since a request was admitted apply to its further attempts. A request without a target in its regions is refused at once with the verdict not-run and one log line, NoTargetInRegions.

A list that is present but empty, isn't a list of texts or names an unknown region has the version of the configuration refused; the log line names the route or team. Entities without a list are stored as before, since daemons of earlier versions refuse fields that they don't know.

test_admission.py: RoutableTargets takes the settings for the region of the daemon's own zone.

--- a/packages/adapters/src/bramleyglade_adapters/structure.py
+++ b/packages/adapters/src/bramleyglade_adapters/structure.py
@@ -66,7 +66,11 @@
         ),
     )
     for cls in KIND_BY_TYPE:
-        unstructure: Any = make_dict_unstructure_fn(cls, converter)
+        # Daemons of a version without this field refuse entities that have it.
+        omitted: dict[str, Any] = {"regions": override(omit_if_default=True)}
+        if not hasattr(cls, "regions"):
+            omitted = {}
+        unstructure: Any = make_dict_unstructure_fn(cls, converter, **omitted)
         converter.register_unstructure_hook(
             cls, _with_kind(unstructure, KIND_BY_TYPE[cls])
         )
--- a/packages/core/src/bramleyglade_core/decisions/directory.py
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.decisions.allowed_regions import region_of
 from bramleyglade_core.decisions.ejection_permits import ServiceCapacity
 from bramleyglade_core.decisions.record_digests import RecordDigests
 from bramleyglade_core.model.announcements import (
@@ -18,9 +19,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from bramleyglade_core.decisions.allowed_regions import AllowedRegions
     from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.model.announcements import MemberRecord
     from bramleyglade_core.model.entities import Service
+    from bramleyglade_core.model.settings import DaemonSettings
 
 
 MEMBER_RETENTION_SECONDS = 3600.0
@@ -297,18 +300,28 @@
 class RoutableTargets:
     """Cache of the targets that take new work, refreshed when something changes."""
 
-    def __init__(self, directory: Directory) -> None:
+    def __init__(self, directory: Directory, settings: DaemonSettings) -> None:
         self._directory = directory
+        self._settings = settings
         self._version = -1
         self._configuration: Configuration | None = None
-        self._routable_by_service: dict[str, list[Candidate]] = {}
-
-    def find(self, service: Service, configuration: Configuration) -> list[Candidate]:
+        self._routable_by_service: dict[
+            tuple[str, AllowedRegions], list[Candidate]
+        ] = {}
+
+    def find(
+        self,
+        service: Service,
+        configuration: Configuration,
+        regions: AllowedRegions = None,
+    ) -> list[Candidate]:
         """Return the targets of a service in the zones that it may use now.
 
         Args:
             service: The service as configured now.
             configuration: The configuration in force.
+            regions: Regions that may serve the request. A zone whose region is not
+                known is used only if all may.
 
         Returns:
             Targets of the service on live daemons, in its zones in use.
@@ -318,10 +331,16 @@
             self._routable_by_service.clear()
             self._version = self._directory.version
             self._configuration = configuration
-        routable = self._routable_by_service.get(service.name)
+        routable = self._routable_by_service.get((service.name, regions))
         if routable is None:
             zones = {z for z in service.zones if configuration.is_zone_in_use(z)}
+            if regions is not None:
+                zones = {
+                    zone
+                    for zone in zones
+                    if region_of(zone, configuration, self._settings) in regions
+                }
             all_targets = self._directory.candidates(service.name)
             routable = [c for c in all_targets if c.zone in zones]
-            self._routable_by_service[service.name] = routable
+            self._routable_by_service[service.name, regions] = routable
         return routable
--- a/packages/core/src/bramleyglade_core/decisions/ticket_check.py
+++ b/packages/core/src/bramleyglade_core/decisions/ticket_check.py
@@ -124,6 +124,7 @@
     for name in route.teams:
         if name not in after.team_by_name:
             yield f"team {name!r} does not exist"
+    yield from _region_problems(route.regions, after)
     for other in after.route_by_name.values():
         if other.name < route.name and _overlap(route, other):
             yield f"matches the same requests as {entity_key(other)}"
@@ -135,6 +136,7 @@
         holder = after.team_by_key_hash.get(key_hash)
         if holder is not None and holder.name != team.name:
             yield f"has a key that is also a key of team {holder.name!r}"
+    yield from _region_problems(team.regions, after)
 
 
 @_entity_problems.register
@@ -143,6 +145,13 @@
         yield f"must be named {CallerLimits().name!r}"
 
 
+def _region_problems(regions: tuple[str, ...], after: Configuration) -> Iterator[str]:
+    known = {zone.region for zone in after.zone_by_name.values()}
+    for name in regions:
+        if name not in known:
+            yield f"region {name!r} does not exist"
+
+
 def _overlap(route: Route, other: Route) -> bool:
     if route.host != other.host or route.path_prefix != other.path_prefix:
         return False
--- a/packages/core/src/bramleyglade_core/model/entities.py
+++ b/packages/core/src/bramleyglade_core/model/entities.py
@@ -24,6 +24,11 @@
         )
 
 
+def _check_regions(regions: tuple[str, ...]) -> None:
+    if not all(regions):
+        raise ValueError("the name of a region must not be empty")
+
+
 @dataclass(frozen=True, slots=True)
 class Zone:
     """An availability zone."""
@@ -114,9 +119,12 @@
     """Latency objective; None if the route has none."""
     priority: int = 0
     """Priority of the requests; 0 is the most urgent."""
+    regions: tuple[str, ...] = ()
+    """Regions that may serve the requests; empty for all."""
 
     def __post_init__(self) -> None:
         _check_name(self.name)
+        _check_regions(self.regions)
         if not self.path_prefix.startswith("/"):
             raise ValueError("path_prefix must start with '/'")
         if self.max_attempts is not None and self.max_attempts < 1:
@@ -159,6 +167,8 @@
     """SHA-256 hashes of the valid keys, in hexadecimal."""
     priority: int | None = None
     """Priority that overrides the route's; None for the route's."""
+    regions: tuple[str, ...] = ()
+    """Regions that may serve the team's requests; empty for all."""
 
     @property
     def is_unlimited(self) -> bool:
@@ -167,6 +177,7 @@
 
     def __post_init__(self) -> None:
         _check_name(self.name)
+        _check_regions(self.regions)
         if not 0.0 < self.rate <= UNLIMITED_RATE:
             raise ValueError("rate must be above 0 and at most 10000000")
         if not 1 <= self.burst <= 10_000_000:
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -356,6 +356,7 @@
             AttemptError: If there is none.
         """
         if not self._may_go_back:
+            self._note_no_target_in_regions()
             raise AttemptError(
                 ErrorCode.NO_TARGET,
                 "no target can take the request",
@@ -365,6 +366,21 @@
         self._must_go_back = True
         self._open.go_back()
 
+    def _note_no_target_in_regions(self) -> None:
+        """Log that the lists of regions leave the request no target, if they do."""
+        request = self._request
+        if request.regions is None or self._dispatcher.candidates(request):
+            return
+        extra = {
+            "request": request.request_id,
+            "route": request.route.name,
+            "team": request.team,
+            "service": request.service.name,
+            "regions": sorted(request.regions),
+        }
+        _LOG.info("NoTargetInRegions", extra=extra)
+        self._context.telemetry.note_event("NoTargetInRegions")
+
     async def _may_retry(self, failed: AttemptFailed) -> bool:
         if not self._may_send_again(failed):
             return False
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -12,6 +12,7 @@
 
 from bramleyglade_adapters.telemetry import traceparent_of
 from bramleyglade_core.decisions.admission import authenticate
+from bramleyglade_core.decisions.allowed_regions import allowed_regions
 from bramleyglade_core.decisions.routing import check_headers, check_path
 from bramleyglade_core.model.errors import (
     AttemptError,
@@ -192,6 +193,7 @@
             headers=self._context.dialect.forwarded_headers(head.headers, forwarded),
             priority=_priority(route, team),
             arrived_at=arrived_at,
+            regions=allowed_regions(route, team),
         )
 
     def _check_stop(
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.decisions.allowed_regions import allowed_regions, intersection
 from bramleyglade_core.decisions.directory import RoutableTargets
 from bramleyglade_core.decisions.stop_schedule import ExpectedTimes
 from bramleyglade_daemon.front.attempts import Attempts
@@ -29,7 +30,7 @@
         self._context = context
         self._ports = ports
         self._retries = retries
-        self._routable = RoutableTargets(context.directory)
+        self._routable = RoutableTargets(context.directory, context.settings)
         self._last_request = 0
 
     def start(
@@ -68,7 +69,13 @@
     def candidates(self, request: AdmittedRequest) -> list[Candidate]:
         """Return the targets that may take the request now."""
         configuration = self._context.configuration
-        return self._routable.find(request.service, configuration)
+        # A list that was tightened since the request was admitted applies to it too.
+        in_force = allowed_regions(
+            configuration.route_by_name.get(request.route.name),
+            configuration.team_by_name.get(request.team),
+        )
+        regions = intersection(request.regions, in_force)
+        return self._routable.find(request.service, configuration, regions)
 
     def expected_times(self, service: str) -> ExpectedTimes:
         """Return how long an answer of a service is expected to take now."""
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -11,6 +11,7 @@
     RequestHead,
 )
 from bramleyglade_adapters.http.wire import RECEIVE_BYTES
+from bramleyglade_core.decisions.allowed_regions import AllowedRegions
 from bramleyglade_core.model.entities import Route, Service
 from bramleyglade_core.model.errors import BadRequest, ErrorCode
 from bramleyglade_core.model.exchange import AttemptFailed, Header
@@ -51,6 +52,8 @@
     """Priority of the request; 0 is the most urgent."""
     arrived_at: float = 0.0
     """When the head was read, by this process's clock, in seconds."""
+    regions: AllowedRegions = None
+    """Regions that may serve the request, as configured when it was admitted."""
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/standins/src/bramleyglade_standins/local_fleet.py
+++ b/packages/standins/src/bramleyglade_standins/local_fleet.py
@@ -48,6 +48,7 @@
 """Key of the team in the first ticket."""
 
 _HOST = "127.0.0.1"
+_DEFAULT_REGION = "region-1"
 _ports = itertools.cycle(range(12_000 + 397 * os.getpid() % 16_000, 32_000))
 """Ports below the ephemeral range of the system.
 
@@ -72,7 +73,7 @@
     return DaemonSettings(
         name=name,
         zone=zone,
-        region="region-1",
+        region=_DEFAULT_REGION,
         caller_address=addresses[0],
         peer_address=addresses[1],
         announce_address=addresses[2],
@@ -112,6 +113,12 @@
     return Ticket(1, "first", tuple(entities))
 
 
+def _region_of(zone: str, ticket: Ticket | None) -> str:
+    entities = ticket.entities if ticket is not None else ()
+    regions = (e.region for e in entities if isinstance(e, Zone) and e.name == zone)
+    return next(regions, _DEFAULT_REGION)
+
+
 async def kill_daemon(daemon: Daemon) -> None:
     """Kill a daemon: cancel its tasks and close its sockets, without notice."""
     for task in daemon._tasks:
@@ -155,7 +162,7 @@
         """Pairs of VM indexes between which new links are refused."""
 
     async def start(self, daemons: int, zones: int, ticket: Ticket | None) -> None:
-        """Start daemons with a target each.
+        """Start daemons with a target each, in the regions that the ticket states.
 
         If there is a ticket, apply it and wait until all daemons are ready.
         """
@@ -165,6 +172,7 @@
             zone = f"zone-{index % zones}"
             name = f"vm-{index}"
             settings = make_settings(name, zone, addresses[index], seeds)
+            settings = replace(settings, region=_region_of(zone, ticket))
             if self.has_short_terms:
                 settings = shorten_terms(settings)
             self.settings.append(settings)
--- a/tests/platform_adapter/test_platform_decoding.py
+++ b/tests/platform_adapter/test_platform_decoding.py
@@ -116,6 +116,39 @@
         decode_configuration({**CONFIGURATION, **changes}, platform_settings)
 
 
+def with_regions(kind, name, regions):
+    entities = CONFIGURATION[kind]
+    changed = {**entities[name], "AllowedRegions": regions}
+    return {**CONFIGURATION, kind: {**entities, name: changed}}
+
+
+def test_allowed_regions_are_mapped_to_routes_and_teams(platform_settings):
+    for kind, name in [("Routes", "r-issue"), ("Tenants", "studio")]:
+        spec = with_regions(kind, name, ["west"])
+        ticket = decode_configuration(spec, platform_settings)
+        listed = {e.name: getattr(e, "regions", ()) for e in ticket.entities}
+        assert listed.pop(name) == ("west",)
+        assert not any(listed.values())
+
+
+@pytest.mark.parametrize("regions", [[], None, "west", {"west": 1}, ["west", 5], [""]])
+@pytest.mark.parametrize(
+    ("kind", "name"), [("Routes", "r-issue"), ("Tenants", "studio")]
+)
+def test_unclear_list_of_regions_rejects_the_version_and_names_the_entity(
+    platform_settings, kind, name, regions
+):
+    """Work that must stay in a region would be served everywhere."""
+    with pytest.raises(BadInput, match=name):
+        decode_configuration(with_regions(kind, name, regions), platform_settings)
+
+
+def test_unknown_region_rejects_the_version_and_is_named(platform_settings):
+    spec = with_regions("Tenants", "studio", ["west", "east"])
+    with pytest.raises(BadInput, match="studio.*unknown region .*east"):
+        decode_configuration(spec, platform_settings)
+
+
 @pytest.mark.parametrize(
     ("route_type", "is_idempotent"),
     [("safe", True), ("download", True), ("unsafe", False), ("upload", False)],
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -75,9 +75,9 @@
     assert caught.value.code is ErrorCode.KEY_NOT_ALLOWED
 
 
-def test_draining_targets_and_those_in_zones_out_of_use_are_not_routable():
+def test_draining_targets_and_those_in_zones_out_of_use_are_not_routable(settings):
     directory = Directory()
-    routable = RoutableTargets(directory)
+    routable = RoutableTargets(directory, settings)
     for number in range(4):
         directory.merge(make_record(number))
     found = routable.find(SERVICE, CONFIGURATION)
