Don't let requests wait for links while another target can take them

A request waited up to 0.5 s for a dial, and each target that a front could not reach cost it one request after each period of avoidance. The front now passes over a target whose link is missing if one with a free slot has an open link, and one whose last dial failed or whose heartbeats are unanswered for two periods if any other target is left. An unreachable guard is dialled in the background until a link opens.

A daemon no longer closes a link as idle that only its peer uses.

--- a/packages/adapters/src/bramleyglade_adapters/link/link.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -95,6 +95,8 @@
         self._closed = curio.Event()
         self.peer: HelloSaid | None = None
         """The peer's first message; None before the handshake."""
+        self.received_count = 0
+        """Messages received since the handshake."""
 
     @property
     def is_open(self) -> bool:
@@ -283,6 +285,7 @@
         while not self._is_closed:
             await turns.step()
             envelope = await self._receive_one(buffer)
+            self.received_count += 1
             receivers = self._accepted_by_stream
             if envelope.is_answer:
                 receivers = self._opened_by_stream
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -132,6 +132,8 @@
     """Highest failure risk at which the guard should accept the request, 0 to 1."""
     is_for_due: bool = False
     """Whether the target was chosen because it was due for a request."""
+    is_last_resort: bool = False
+    """Whether the target is used only if no other is left."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,10 +312,12 @@
     def _make_pick(self, candidate: Candidate, options: PickOptions) -> Pick:
         view = self.view_by_target.get(candidate.target)
         is_free = self._is_free(candidate, options.now)
-        if view is None:
-            return Pick(candidate, is_free, _DEFAULT_MAX_RISK)
-        risk = decayed_risk(view.risk, options.now - view.received_at)
-        return Pick(candidate, is_free, min(1.0, risk + _RISK_TOLERANCE))
+        is_last_resort = self._is_last_resort(candidate, options)
+        most_risk = _DEFAULT_MAX_RISK
+        if view is not None:
+            risk = decayed_risk(view.risk, options.now - view.received_at)
+            most_risk = min(1.0, risk + _RISK_TOLERANCE)
+        return Pick(candidate, is_free, most_risk, is_last_resort=is_last_resort)
 
     def _is_free(self, candidate: Candidate, now: float) -> bool:
         """Return whether a target is estimated to start a request at once."""
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -21,6 +21,7 @@
 from bramleyglade_daemon.front.caller_task import Front
 from bramleyglade_daemon.front.dispatcher import Dispatcher
 from bramleyglade_daemon.front.guard_ports import GuardPorts
+from bramleyglade_daemon.front.link_opener import LinkOpener
 from bramleyglade_daemon.front.retry_loans import RetryLoans
 from bramleyglade_daemon.front.team_limiter import TeamLimiter
 from bramleyglade_daemon.guard.announce_server import AnnounceServer
@@ -69,7 +70,9 @@
         self.guard = Guard(context)
         local = LocalGuardPort(self.guard, context.settings.peers.window_bytes)
         ports = GuardPorts(context, self.peers, local)
-        dispatcher = Dispatcher(context, ports, RetryLoans(context, self.peers))
+        opener = LinkOpener(context, self.peers)
+        retries = RetryLoans(context, self.peers)
+        dispatcher = Dispatcher(context, ports, retries, opener)
         self.limiter = TeamLimiter(context, self.keepers)
         self.front = Front(context, dispatcher, self.limiter)
         self.peers.handler = MessageHandler(
@@ -115,6 +118,7 @@
             self.membership.watch_neighbours,
             self.keepers.run,
             self.limiter.run,
+            self.front.dispatcher.opener.run,
             self.guard.watch_targets,
             self.guard.watch_due,
             ReportReader(self.guard).run,
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -160,6 +160,7 @@
         heartbeat = HeartbeatSent(
             self._context.view.revision, self._context.directory.digest
         )
+        self._peers.note_heartbeat(link)
         try:
             reply = await link.call(heartbeat, settings.suspect_seconds)
             answer = expect(reply, HeartbeatAnswered)
@@ -167,6 +168,7 @@
             # This link has failed; another one to the same peer may still work.
             await link.close()
             return False
+        self._peers.note_heartbeat_answered(link)
         self._peers.mark_seen(name)
         self._context.update_views(name, answer.views)
         await self._shared.apply_heartbeat_answer(link, answer, sent_at)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import curio
 
 from bramleyglade_adapters.http.wire import connect, disable_nagle
 from bramleyglade_adapters.link.link import Link, LinkLost, encode_one_way
+from bramleyglade_core.decisions.link_choice import LinkState
 from bramleyglade_core.model.errors import BadInput, ErrorCode, FleetError
 from bramleyglade_core.model.peer_messages import PROTOCOL_VERSION, HelloSaid
 
@@ -33,12 +35,23 @@
 _IDLE_CHECK_SECONDS = 2.0
 """Time between two checks whether an open link is still needed."""
 
+_SILENT_HEARTBEATS = 2
+"""Periods of the heartbeat after which a link without any message since an unanswered
+heartbeat counts as silent; other links get new requests from then on."""
+
 _MAX_RECIPIENTS = 64
 """Most peers sent a target's view at once; others get it with heartbeats or answers."""
 
 _LOG = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class _UnansweredHeartbeat:
+    sent_at: float
+    received_count: int
+    """Messages that the link had received when the heartbeat was sent."""
+
+
 class Peers:
     """The links of this daemon to its peers, by the peer's name."""
 
@@ -61,6 +74,7 @@
         self._task_by_name: dict[str, curio.Task] = {}
         self._failed_at_by_name: dict[str, float] = {}
         self._link_opened_by_name: dict[str, curio.Event] = {}
+        self._heartbeat_by_link: dict[Link, _UnansweredHeartbeat] = {}
 
     def open_links(self) -> list[Link]:
         """Return the open link of each linked peer."""
@@ -75,6 +89,37 @@
         link = self.link_by_name.get(name)
         return link if link is not None and link.is_open else None
 
+    def link_state(self, name: str) -> LinkState:
+        """Return the state of the link to a peer, for new requests."""
+        link = self.link_to(name)
+        if link is not None:
+            return LinkState.FAILED if self._is_silent(link) else LinkState.READY
+        # The task that dials ends when the link is no longer wanted; the next dial
+        # after that may succeed.
+        task = self._task_by_name.get(name)
+        is_dialling = task is not None and not task.terminated
+        if name in self._failed_at_by_name and is_dialling:
+            return LinkState.FAILED
+        return LinkState.MISSING
+
+    def note_heartbeat(self, link: Link) -> None:
+        """Record that a heartbeat is sent on a link."""
+        self._heartbeat_by_link[link] = _UnansweredHeartbeat(
+            self._context.clock(), link.received_count
+        )
+
+    def note_heartbeat_answered(self, link: Link) -> None:
+        """Record that the last heartbeat on a link was answered."""
+        self._heartbeat_by_link.pop(link, None)
+
+    def _is_silent(self, link: Link) -> bool:
+        heartbeat = self._heartbeat_by_link.get(link)
+        if heartbeat is None or link.received_count != heartbeat.received_count:
+            return False
+        period = self._context.settings.peers.heartbeat_seconds
+        waited_seconds = self._context.clock() - heartbeat.sent_at
+        return waited_seconds > _SILENT_HEARTBEATS * period
+
     def mark_seen(self, name: str) -> None:
         """Record that a peer has just been in contact, and clear any suspicion."""
         self._last_seen_by_name[name] = self._context.clock()
@@ -157,6 +202,11 @@
         """Return whether a link leads to a neighbour."""
         return link.peer is not None and link.peer.daemon.name in self.neighbours
 
+    async def keep_link(self, name: str) -> None:
+        """Keep a link to a peer open as if it were used now; does not wait for it."""
+        self._used_at_by_name[name] = self._context.clock()
+        await self.maintain_link(name)
+
     async def maintain_link(self, name: str) -> None:
         """Start a task that maintains a link to a peer, unless one is running."""
         task = self._task_by_name.get(name)
@@ -223,7 +273,12 @@
     def _is_wanted(self, name: str) -> bool:
         if name not in self._context.directory.member_names():
             return False
-        idle = self._context.clock() - self._used_at_by_name.get(name, 0.0)
+        # The peer may use a link that this daemon doesn't.
+        used_at = max(
+            self._used_at_by_name.get(name, 0.0),
+            self._last_seen_by_name.get(name, 0.0),
+        )
+        idle = self._context.clock() - used_at
         return name in self.neighbours or idle < _IDLE_TIMEOUT_SECONDS
 
     async def _dial(self, name: str) -> bool:
@@ -263,6 +318,7 @@
             await link.run()
         finally:
             self.links.discard(link)
+            self._heartbeat_by_link.pop(link, None)
             if self.link_by_name.get(name) is link:
                 del self.link_by_name[name]
 
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -10,6 +10,7 @@
 
 from bramleyglade_adapters.link.link import LinkLost
 from bramleyglade_core.decisions.attempt_timeout import attempt_timeout
+from bramleyglade_core.decisions.link_choice import LinkState, pick_by_link
 from bramleyglade_core.decisions.picker import Pick, PickOptions
 from bramleyglade_core.decisions.retry_budget import may_retry
 from bramleyglade_core.model.errors import AttemptError, ErrorCode, FleetError
@@ -441,7 +442,9 @@
         candidates = self._dispatcher.candidates(self._request)
         if self._open.has_others:
             # The open attempts are not received from while a link is opened.
-            candidates = [c for c in candidates if self._is_linked(c)]
+            candidates = [
+                c for c in candidates if self._link_state(c) is LinkState.READY
+            ]
         stated = self._request.head.content_length
         is_retryable = self._request.is_idempotent and not self._is_last
         options = PickOptions(
@@ -451,10 +454,28 @@
             body_bytes=_ASSUMED_BODY_BYTES if stated is None else stated,
         )
         self._dispatcher.refresh_local_views()
-        return self._context.picker.pick(candidates, self._tried, options)
+        linked = pick_by_link(
+            self._context.picker, candidates, self._tried, options, self._link_state
+        )
+        if linked.pick is not None and linked.passed_over is not None:
+            self._note_passed_over(linked.pick, linked.passed_over.candidate)
+        return linked.pick
+
+    def _link_state(self, candidate: Candidate) -> LinkState:
+        return self._dispatcher.port(candidate).link_state
 
-    def _is_linked(self, candidate: Candidate) -> bool:
-        return self._dispatcher.port(candidate).is_linked
+    def _note_passed_over(self, pick: Pick, passed_over: Candidate) -> None:
+        state = self._link_state(passed_over)
+        self._dispatcher.opener.note_missing(passed_over.target.daemon)
+        extra = {
+            "request": self._request.request_id,
+            "target": passed_over.target.name,
+            "daemon": passed_over.target.daemon,
+            "link": state.value,
+            "chosen": pick.candidate.target.name,
+        }
+        _LOG.info("TargetPassedOver", extra=extra)
+        self._context.telemetry.note_event(f"TargetPassedOver.{state.value}")
 
     def _make_offer(self, pick: Pick) -> AttemptOffered:
         request = self._request
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -16,6 +16,7 @@
     from bramleyglade_core.ports.streams import AttemptPort
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.front.guard_ports import GuardPorts
+    from bramleyglade_daemon.front.link_opener import LinkOpener
     from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
     from bramleyglade_daemon.front.request_log import RequestLog
     from bramleyglade_daemon.front.retry_loans import RetryLoans
@@ -25,11 +26,17 @@
     """Sends admitted requests to targets."""
 
     def __init__(
-        self, context: Context, ports: GuardPorts, retries: RetryLoans
+        self,
+        context: Context,
+        ports: GuardPorts,
+        retries: RetryLoans,
+        opener: LinkOpener,
     ) -> None:
         self._context = context
         self._ports = ports
         self._retries = retries
+        self.opener = opener
+        """Opens links to the guards that requests are going to need."""
         self._routable = RoutableTargets(context.directory, context.settings)
         self._last_request = 0
 
@@ -42,6 +49,7 @@
     ) -> Attempts:
         """Count a new request in the retry budgets and return its attempts."""
         self._last_request += 1
+        self.opener.note_request(request.service.name)
         budgets = self._context.retry_budgets
         budgets.set_fleet_size(len(self._context.directory.record_by_name))
         budgets.note_first_attempt(request.service.name, self._context.clock())
--- a/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
@@ -13,6 +13,7 @@
     from typing import Any
 
     from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.decisions.link_choice import LinkState
     from bramleyglade_core.model.exchange import AttemptOffered
     from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.ports.streams import AttemptPort
@@ -30,9 +31,9 @@
         self._window = window_bytes
 
     @property
-    def is_linked(self) -> bool:
-        """Whether an offer needs no new link."""
-        return self._peers.link_to(self._daemon.name) is not None
+    def link_state(self) -> LinkState:
+        """State of the link that an offer would use."""
+        return self._peers.link_state(self._daemon.name)
 
     async def offer(self, offered: AttemptOffered) -> FrontStream:
         """Offer an attempt.
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -10,6 +10,7 @@
 import curio
 
 from bramleyglade_core.decisions.attempt_table import AttemptTable
+from bramleyglade_core.decisions.link_choice import LinkState
 from bramleyglade_core.decisions.target_runs import TargetRuns
 from bramleyglade_core.model.announcements import TargetRun
 from bramleyglade_core.model.errors import AttemptError, ErrorCode, FleetError
@@ -342,9 +343,9 @@
         self._window = window_bytes
 
     @property
-    def is_linked(self) -> bool:
-        """Whether an offer needs no new link; a call to this process never does."""
-        return True
+    def link_state(self) -> LinkState:
+        """State of the link that an offer would use; this process needs none."""
+        return LinkState.READY
 
     async def offer(self, offered: AttemptOffered) -> FrontStream:
         """Offer an attempt."""
--- /dev/null
+++ b/tests/test_links_of_requests.py
@@ -0,0 +1,182 @@
+"""Requests don't wait for links while another target can take them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import curio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.decisions.directory import Candidate
+from bramleyglade_core.decisions.link_choice import (
+    LinkState,
+    guards_to_link,
+    pick_by_link,
+)
+from bramleyglade_core.decisions.picker import Picker, PickOptions
+from bramleyglade_core.model.announcements import TargetAnnouncement
+from bramleyglade_core.model.entities import Zone
+from bramleyglade_core.model.identifiers import Address, TargetId
+from bramleyglade_core.model.peer_messages import TargetViewTold
+from bramleyglade_core.model.tickets import Ticket
+from bramleyglade_standins.local_fleet import SilentSocket
+
+SLOTS = 2
+_TARGETS = st.lists(
+    st.tuples(
+        st.sampled_from(LinkState),
+        st.booleans(),  # Whether all its slots are in use.
+        st.booleans(),  # Whether it is ejected.
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+def make_candidates(count, zone="zone-0"):
+    address = Address("127.0.0.1", 1)
+    return [
+        Candidate(
+            TargetId(f"vm-{i}", f"t-{i}"),
+            zone,
+            TargetAnnouncement(f"t-{i}", "s", address, SLOTS),
+        )
+        for i in range(count)
+    ]
+
+
+@given(targets=_TARGETS, seed=st.integers(0, 99))
+def test_no_request_waits_for_a_dial_while_a_linked_target_has_a_free_slot(
+    targets, seed
+):
+    picker = Picker("zone-0", random.Random(seed))
+    candidates = make_candidates(len(targets))
+    for candidate, (_, is_full, is_ejected) in zip(candidates, targets, strict=True):
+        view = TargetViewTold(
+            candidate.target.name,
+            "s",
+            limit=SLOTS,
+            busy=SLOTS if is_full else 0,
+            is_ejected=is_ejected,
+            is_trial=False,
+        )
+        picker.update_views(candidate.target.daemon, (view,), 100.0)
+    fields = dict(zip(candidates, targets, strict=True))
+    picked = pick_by_link(
+        picker, candidates, (), PickOptions(100.0), lambda c: fields[c][0]
+    ).pick
+    assert picked is not None
+    state, is_full, is_ejected = fields[picked.candidate]
+    sound = [(s, full) for s, full, ejected in targets if not ejected]
+    if not sound:
+        return
+    assert not is_ejected
+    if (LinkState.READY, False) in sound:
+        assert state is LinkState.READY
+    if any(s is not LinkState.FAILED for s, _ in sound):
+        assert state is not LinkState.FAILED
+
+
+@pytest.mark.parametrize(("home", "expected"), [(3, "zone-0"), (0, "zone-1")])
+def test_links_are_opened_in_advance_in_the_own_region_if_it_has_targets(
+    settings, home, expected
+):
+    """Otherwise each front has links, and control traffic, to all other regions."""
+    ticket = Ticket(1, "", (Zone("zone-0", "region-1"), Zone("zone-1", "region-2")))
+    configuration = EMPTY_CONFIGURATION.merged(ticket.states())
+    near = make_candidates(home)
+    far = [
+        replace(c, zone="zone-1", target=TargetId(f"far-{c.target.daemon}", "t"))
+        for c in make_candidates(2)
+    ]
+    names = guards_to_link(near + far, configuration, settings)
+    among = near if expected == "zone-0" else far
+    assert set(names) == {c.target.daemon for c in among} - {settings.name}
+
+
+def test_fronts_of_a_large_service_together_open_links_to_all_guards(settings):
+    candidates = make_candidates(300)
+    linked = set()
+    for index in range(30):
+        own = replace(settings, name=f"front-{index}")
+        names = guards_to_link(candidates, EMPTY_CONFIGURATION, own)
+        assert len(names) == 128
+        linked.update(names)
+    assert len(linked) == 300
+
+
+def without_neighbours(fleet):
+    """Drop the links that daemons of a small fleet keep to all others."""
+    for daemon in fleet.daemons:
+        daemon.peers.set_neighbours([])
+        daemon.membership._choose_neighbours = lambda: None
+
+
+def test_first_request_has_links_to_all_guards_of_its_service_opened(run_fleet):
+    async def scenario(fleet):
+        without_neighbours(fleet)
+        peers = fleet.daemons[0].peers
+        await curio.sleep(0)
+        for index in (1, 2, 3):
+            await fleet.cut_links(0, index)
+        assert (await fleet.call(path="/lookup/1")).status == 200
+        await fleet.wait_until(
+            lambda: all(
+                peers.link_state(f"vm-{i}") is LinkState.READY for i in (1, 2, 3)
+            )
+        )
+
+    run_fleet(scenario, daemons=4)
+
+
+def test_unreachable_guard_is_dialled_without_a_request(run_fleet):
+    """Each period of avoidance ended with a request that waited for a dial."""
+
+    async def scenario(fleet):
+        front = fleet.daemons[0]
+        fleet.blocked_pairs.add(frozenset((0, 1)))
+        await fleet.cut_links(0, 1)
+        dials = []
+        connect = front.peers.connect
+
+        async def count(address, timeout_seconds):
+            dials.append(address)
+            return await connect(address, timeout_seconds)
+
+        front.peers.connect = count
+        assert (await fleet.call(path="/lookup/1")).status == 200
+        await fleet.wait_until(
+            lambda: front.peers.link_state("vm-1") is LinkState.FAILED
+        )
+        avoided = dict(front.context.picker._avoidance_by_target)
+        for _ in range(30):
+            assert (await fleet.call(path="/lookup/1")).status == 200
+            await curio.sleep(0.05)
+        assert front.context.picker._avoidance_by_target == avoided
+        assert len(dials) > 1
+        fleet.blocked_pairs.clear()
+        await fleet.wait_until(
+            lambda: front.peers.link_state("vm-1") is LinkState.READY
+        )
+
+    run_fleet(scenario, daemons=3)
+
+
+def test_link_whose_heartbeats_are_not_answered_is_not_used_for_requests(run_fleet):
+    async def scenario(fleet):
+        front = fleet.daemons[0]
+        for link in fleet.links(1, 0):
+            link._sock = SilentSocket(link._sock)
+        await fleet.wait_until(
+            lambda: front.peers.link_state("vm-1") is LinkState.FAILED
+        )
+        served = fleet.targets[1].answered
+        while front.peers.link_state("vm-1") is LinkState.FAILED:
+            assert (await fleet.call(path="/lookup/1")).status == 200
+        assert fleet.targets[1].answered == served
+
+    run_fleet(scenario, daemons=3)
