--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -12,6 +12,7 @@
 
 from bramleyglade_adapters.telemetry import traceparent_of
 from bramleyglade_core.decisions.admission import authenticate, is_own_vm
+from bramleyglade_core.decisions.allowed_regions import allowed_regions
 from bramleyglade_core.decisions.routing import check_headers, check_path
 from bramleyglade_core.model.errors import (
     AttemptError,
@@ -193,6 +194,7 @@
             priority=_priority(route, team),
             is_call=self._is_call(route, metadata),
             arrived_at=arrived_at,
+            regions=allowed_regions(route, team),
         )
 
     def _is_call(self, route: Route, metadata: CallerMetadata) -> bool:
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.decisions.allowed_regions import allowed_regions, intersection
 from bramleyglade_core.decisions.directory import RoutableTargets
 from bramleyglade_core.decisions.stop_schedule import ExpectedTimes
 from bramleyglade_daemon.front.attempts import Attempts
@@ -15,6 +16,7 @@
     from bramleyglade_core.ports.streams import AttemptPort
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.front.guard_ports import GuardPorts
+    from bramleyglade_daemon.front.link_opener import LinkOpener
     from bramleyglade_daemon.front.request import AdmittedRequest, BodyFeeder
     from bramleyglade_daemon.front.request_log import RequestLog
     from bramleyglade_daemon.front.retry_loans import RetryLoans
@@ -24,12 +26,18 @@
     """Sends admitted requests to targets."""
 
     def __init__(
-        self, context: Context, ports: GuardPorts, retries: RetryLoans
+        self,
+        context: Context,
+        ports: GuardPorts,
+        retries: RetryLoans,
+        opener: LinkOpener,
     ) -> None:
         self._context = context
         self._ports = ports
         self._retries = retries
-        self._routable = RoutableTargets(context.directory)
+        self.opener = opener
+        """Opens links to the guards that requests are going to need."""
+        self._routable = RoutableTargets(context.directory, context.settings)
         self._last_request = 0
 
     def start(
@@ -41,6 +49,7 @@
     ) -> Attempts:
         """Count a new request in the retry budgets and return its attempts."""
         self._last_request += 1
+        self.opener.note_request(request.service.name)
         budgets = self._context.retry_budgets
         budgets.set_fleet_size(len(self._context.directory.record_by_name))
         budgets.note_first_attempt(request.service.name, self._context.clock())
@@ -73,7 +82,13 @@
     def candidates(self, request: AdmittedRequest) -> list[Candidate]:
         """Return the targets that may take the request now."""
         configuration = self._context.configuration
-        return self._routable.find(request.service, configuration)
+        # A list that was tightened since the request was admitted applies to it too.
+        in_force = allowed_regions(
+            configuration.route_by_name.get(request.route.name),
+            configuration.team_by_name.get(request.team),
+        )
+        regions = intersection(request.regions, in_force)
+        return self._routable.find(request.service, configuration, regions)
 
     def expected_times(self, service: str) -> ExpectedTimes:
         """Return how long an answer of a service is expected to take now."""
