End no answer without a length at a reset that another task was told of

A target answered an upload early, without a length, and reset the connection while the upload was written. The kernel tells a reset to one reader or writer only. The write of the upload was told, the worker ignored its error, and the next read found a clean end of the stream, which ended the body. The caller got 7,200 bytes as a complete 200.

The end of a stream now ends an exchange only if the sending direction is sound: no write has failed, the whole request is written and acknowledged, no error is pending and the kernel's state of the connection is not that of a reset, which remains when another task has taken the error. The check is in ClientConnection, so that it also holds for the store, health checks and announcements of the client.

--- a/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
@@ -14,6 +14,7 @@
     headers_from_wire,
     headers_to_wire,
     is_readable_now,
+    sending_fault,
 )
 from bramleyglade_core.model.errors import ErrorCode, FleetError
 from bramleyglade_core.model.exchange import (
@@ -56,6 +57,8 @@
         """Event, or error, that was parsed behind the last piece of a body."""
         self._has_unsent = False
         """Whether a write was begun and has not ended, or was cancelled."""
+        self._fault = ""
+        """Error that a write was told of, which no later read is told."""
         self.is_first_exchange = True
         """Whether no exchange on this connection has been finished yet."""
 
@@ -99,7 +102,11 @@
 
     async def _send(self, data: bytes) -> None:
         self._has_unsent = True
-        await self._sock.sendall(data)
+        try:
+            await self._sock.sendall(data)
+        except OSError as error:
+            self._fault = str(error)
+            raise
         self._has_unsent = False
 
     async def receive(self) -> AnswerPart:
@@ -152,11 +159,31 @@
             await self._turns.step()
             event = self._parse_event()
             if event is h11.NEED_DATA:
-                self._protocol.receive_data(await self._sock.recv(RECEIVE_BYTES))
+                data = await self._sock.recv(RECEIVE_BYTES)
+                if not data:
+                    self._check_end()
+                self._protocol.receive_data(data)
         if isinstance(event, AnswerBroken):
             raise event
         return event
 
+    def _check_end(self) -> None:
+        """Check that the end of the stream can be the end of a body without a length.
+
+        Raises:
+            AnswerBroken: If the other direction of the connection says otherwise.
+        """
+        is_written = self._protocol.our_state is not h11.SEND_BODY
+        fault = self._fault or sending_fault(self._sock)
+        if not fault and (self._has_unsent or not is_written):
+            fault = "the request's body was not written to its end"
+        if fault:
+            raise AnswerBroken(
+                ErrorCode.ANSWER_TRUNCATED,
+                f"the connection ended within the exchange: {fault}",
+                Verdict.MAY_HAVE_RUN,
+            )
+
     async def _join_body(self, first: h11.Data) -> bytes:
         """Join the pieces of a body that have arrived, as each may be a single byte."""
         joined = bytearray(first.data)
--- a/packages/adapters/src/bramleyglade_adapters/http/wire.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/wire.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import fcntl
+import os
 import socket
+import struct
+import termios
 from typing import TYPE_CHECKING
 
 import curio
@@ -21,6 +25,11 @@
 MAX_HEAD_BYTES = 65_536
 """Maximum size of the head of a request or an answer."""
 
+_TCP_CLOSED = 7
+"""State TCP_CLOSE of the kernel's `tcp_info`."""
+
+_INT = struct.Struct("i")
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -96,6 +105,29 @@
     return [(h.name.encode("ascii"), h.value.encode("latin-1")) for h in headers]
 
 
+def sending_fault(sock: curio_io.Socket) -> str:
+    """Return what went wrong with the sending side of a socket; empty if nothing did.
+
+    The kernel reports a reset to one reader or writer only, and everybody after it
+    finds a clean end of the stream. The state of the connection keeps the reset: after
+    a close by the other side alone it would not be closed.
+    """
+    try:
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError as gone:
+        return str(gone)
+    if error:
+        return os.strerror(error)
+    if state == _TCP_CLOSED:
+        return "the connection was reset"
+    (unacknowledged,) = _INT.unpack(queued)
+    if unacknowledged:
+        return f"{unacknowledged} bytes were not acknowledged"
+    return ""
+
+
 def is_readable_now(sock: curio_io.Socket) -> bool:
     """Check an idle connection for received data, a close or an error."""
     try:
--- a/tests/platform_adapter/fleet.py
+++ b/tests/platform_adapter/fleet.py
@@ -127,7 +127,15 @@
         address = self.settings[index].ready_address
         return (await self._request(address, "GET", "/-/readiness")).status
 
-    async def call(self, index=0, method="POST", path="/issue/a", key="k1", **headers):
+    async def call(
+        self,
+        index=0,
+        method="POST",
+        path="/issue/a",
+        key="k1",
+        body=b"body",
+        **headers,
+    ):
         request_id = f"q{next(_request_numbers)}"
         sent_headers = {
             "host": "shop.example",
@@ -142,7 +150,7 @@
             answer = await client.request(
                 method,
                 path,
-                b"body" if method == "POST" else b"",
+                body if method == "POST" else b"",
                 tuple(Header(n, v) for n, v in sent_headers.items()),
                 timeout_seconds=10.0,
             )
