--- a/packages/adapters/src/bramleyglade_adapters/http/wire.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import logging
 import os
 import socket
 import struct
@@ -30,6 +31,8 @@
 
 _INT = struct.Struct("i")
 
+_LOG = logging.getLogger(__name__)
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -114,12 +117,16 @@
     """
     try:
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
     except OSError as gone:
         return str(gone)
     if error:
         return os.strerror(error)
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError as unsupported:
+        _LOG.debug("SocketStateUnknown", extra={"why": str(unsupported)})
+        return ""
     if state == _TCP_CLOSED:
         return "the connection was reset"
     (unacknowledged,) = _INT.unpack(queued)
