Count the bytes sent to peers by kind of message and distance

Which control traffic crosses zones and regions was not known. Links count what they queue by the name of the message's class; the counter bramleyglade.peer.bytes has the labels kind and distance (same zone, other zone, other region).

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -6,7 +6,14 @@
 import sys
 import time
 
-from benchmarks import detection, latency, limiter, propagation, service
+from benchmarks import (
+    control_traffic,
+    detection,
+    latency,
+    limiter,
+    propagation,
+    service,
+)
 
 
 def main() -> None:
@@ -18,6 +25,7 @@
         "service": service.main,
         "propagation": propagation.main,
         "latency": latency.main,
+        "control_traffic": control_traffic.main,
     }
     names = sys.argv[1:] or list(benchmark_by_name)
     for name in names:
--- a/packages/adapters/src/bramleyglade_adapters/link/link.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING, Any, Protocol
 
 import curio
@@ -97,6 +97,8 @@
         """The peer's first message; None before the handshake."""
         self.received_count = 0
         """Messages received since the handshake."""
+        self.sent_bytes_by_kind: Counter[str] = Counter()
+        """Bytes queued to be sent by kind of message; links may share a counter."""
 
     @property
     def is_open(self) -> bool:
@@ -206,11 +208,13 @@
         """
         if self._is_closed:
             raise LinkLost(ErrorCode.PEER_LOST, "no link to the peer")
-        await self._queue_bytes(encode(Envelope(stream, is_answer, message)))
+        data = encode(Envelope(stream, is_answer, message))
+        await self._queue_bytes(data, type(message).__name__)
 
-    async def _queue_bytes(self, data: bytes) -> None:
+    async def _queue_bytes(self, data: bytes, kind: str) -> None:
         if self._is_closed:
             raise LinkLost(ErrorCode.PEER_LOST, "no link to the peer")
+        self.sent_bytes_by_kind[kind] += len(data)
         self._unsent.append(data)
         self._unsent_bytes += len(data)
         if self._unsent_bytes > MAX_UNSENT_BYTES:
@@ -220,10 +224,15 @@
             )
         await self._has_unsent.set()
 
-    async def send_encoded(self, data: bytes) -> None:
-        """Send an encoded one-way message; drop it if the link is lost."""
+    async def send_encoded(self, data: bytes, kind: str) -> None:
+        """Send an encoded one-way message; drop it if the link is lost.
+
+        Args:
+            data: The message, from `encode_one_way`.
+            kind: Name of the message's class.
+        """
         try:
-            await self._queue_bytes(data)
+            await self._queue_bytes(data, kind)
         except LinkLost as error:
             _LOG.debug("MessageLost", extra={"why": error.detail})
 
--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -70,6 +70,26 @@
             yield Observation(count, dict(labels))
 
 
+class ByteCounter:
+    """Bytes sent to peers by kind of message, for each distance.
+
+    A link adds to the counter of its distance directly, as it sends many messages.
+    """
+
+    def __init__(self, meter: Meter, name: str) -> None:
+        self._sent_by_distance: dict[str, Counter[str]] = {}
+        meter.create_observable_counter(name, [self._observe], unit="By")
+
+    def at(self, distance: str) -> Counter[str]:
+        """Return the bytes sent over a distance, by kind of message."""
+        return self._sent_by_distance.setdefault(distance, Counter())
+
+    def _observe(self, _: CallbackOptions) -> Iterator[Observation]:
+        for distance, sent_by_kind in list(self._sent_by_distance.items()):
+            for kind, sent in list(sent_by_kind.items()):
+                yield Observation(sent, {"kind": kind, "distance": distance})
+
+
 class Telemetry:
     """Metrics and traces of one process."""
 
@@ -89,6 +109,8 @@
         self._requests = EventCounter(self._meter, "bramleyglade.requests")
         self._attempts = EventCounter(self._meter, "bramleyglade.attempts")
         self._events = EventCounter(self._meter, "bramleyglade.events")
+        self.peer_bytes = ByteCounter(self._meter, "bramleyglade.peer.bytes")
+        """Bytes sent to peers, with their framing and without that of TCP."""
 
     @cached_property
     def _front_latency(self) -> Histogram:
--- a/packages/core/src/bramleyglade_core/decisions/directory.py
+++ b/packages/core/src/bramleyglade_core/decisions/directory.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from bramleyglade_core.decisions.allowed_regions import region_of
 from bramleyglade_core.decisions.ejection_permits import ServiceCapacity
 from bramleyglade_core.decisions.record_digests import RecordDigests
+from bramleyglade_core.decisions.regions import region_of
 from bramleyglade_core.model.announcements import (
     DaemonPhase,
     TargetAnnouncement,
@@ -19,8 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from bramleyglade_core.decisions.allowed_regions import AllowedRegions
     from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.decisions.regions import AllowedRegions
     from bramleyglade_core.model.announcements import MemberRecord
     from bramleyglade_core.model.entities import Service
     from bramleyglade_core.model.settings import DaemonSettings
--- a/packages/core/src/bramleyglade_core/decisions/link_choice.py
+++ b/packages/core/src/bramleyglade_core/decisions/link_choice.py
@@ -6,8 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from bramleyglade_core.decisions.allowed_regions import region_of
 from bramleyglade_core.decisions.picker import Pick
+from bramleyglade_core.decisions.regions import Distance, distance_between
 from bramleyglade_core.decisions.rendezvous import rank
 
 if TYPE_CHECKING:
@@ -108,9 +108,9 @@
     near: set[str] = set()
     far: set[str] = set()
     for candidate in candidates:
-        region = region_of(candidate.zone, configuration, settings)
-        is_near = region is None or region == settings.region
-        (near if is_near else far).add(candidate.target.daemon)
+        distance = distance_between(candidate.zone, configuration, settings)
+        is_far = distance is Distance.OTHER_REGION
+        (far if is_far else near).add(candidate.target.daemon)
     names = (near or far) - {settings.name}
     if len(names) > _MAX_LINKS_PER_SERVICE:
         return rank(settings.name, names)[:_MAX_LINKS_PER_SERVICE]
--- a/packages/core/src/bramleyglade_core/decisions/allowed_regions.py
+++ b/packages/core/src/bramleyglade_core/decisions/regions.py
@@ -1,7 +1,8 @@
-"""Regions that may serve a request."""
+"""Regions of zones, and those that may serve a request."""
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -16,6 +17,15 @@
 """
 
 
+class Distance(Enum):
+    """How far a zone is from a daemon's own zone."""
+
+    SAME_ZONE = "same zone"
+    OTHER_ZONE = "other zone"
+    """In the same region, or in one that is not known."""
+    OTHER_REGION = "other region"
+
+
 def allowed_regions(route: Route | None, team: Team | None) -> AllowedRegions:
     """Return the regions that both a route and a team allow.
 
@@ -55,3 +65,24 @@
         return settings.region
     configured = configuration.zone_by_name.get(zone)
     return None if configured is None else configured.region
+
+
+def distance_between(
+    zone: str, configuration: Configuration, settings: DaemonSettings
+) -> Distance:
+    """Return how far a zone is from this daemon's own zone.
+
+    Args:
+        zone: Name of the zone.
+        configuration: The configuration in force.
+        settings: This daemon's settings, for its own zone and region.
+
+    Returns:
+        The distance; `OTHER_ZONE` if the zone's region is not known.
+    """
+    if zone == settings.zone:
+        return Distance.SAME_ZONE
+    region = region_of(zone, configuration, settings)
+    if region is None or region == settings.region:
+        return Distance.OTHER_ZONE
+    return Distance.OTHER_REGION
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -11,6 +11,7 @@
 from bramleyglade_core.decisions.directory import Directory
 from bramleyglade_core.decisions.lease import Lease, StoreContact
 from bramleyglade_core.decisions.picker import Picker
+from bramleyglade_core.decisions.regions import distance_between
 from bramleyglade_core.decisions.retry_budget import RetryBudgets
 from bramleyglade_core.decisions.shared_view import SharedView
 from bramleyglade_core.decisions.splitter import Splitter
@@ -22,6 +23,7 @@
 
     from bramleyglade_adapters.telemetry import Telemetry
     from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.decisions.regions import Distance
     from bramleyglade_core.decisions.stop_schedule import StopSchedule
     from bramleyglade_core.model.announcements import TargetAnnouncement, TargetRun
     from bramleyglade_core.model.peer_messages import TargetViewTold
@@ -105,6 +107,10 @@
         """Whether a planned stop has begun."""
         return self.phase is not DaemonPhase.SERVING
 
+    def distance_to(self, zone: str) -> Distance:
+        """Return the distance to a zone, by the configuration in force."""
+        return distance_between(zone, self.configuration, self.settings)
+
     def note_earlier_record(self, record: MemberRecord) -> None:
         """Keep a record of an earlier daemon of this VM if it names newer targets."""
         known = self.earlier_record
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -141,6 +141,7 @@
         """Keep links to the neighbours; connect to the seeds while no link is open."""
         while True:
             self._choose_neighbours()
+            self._peers.count_bytes()
             for name in self._peers.neighbours:
                 await self._peers.maintain_link(name)
             if not self._peers.open_links():
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -184,7 +184,7 @@
         data = encode_one_way(message)
         for link in self.neighbour_links():
             if link.peer_name != exclude:
-                await link.send_encoded(data)
+                await link.send_encoded(data, type(message).__name__)
 
     async def send_to_linked_peers(self, message: Any) -> None:
         """Send a message to all linked peers, or to a random sample if there are many.
@@ -196,7 +196,7 @@
             links = self._context.random.sample(links, _MAX_RECIPIENTS)
         data = encode_one_way(message)
         for link in links:
-            await link.send_encoded(data)
+            await link.send_encoded(data, type(message).__name__)
 
     def is_neighbour(self, link: Link) -> bool:
         """Return whether a link leads to a neighbour."""
@@ -311,6 +311,7 @@
             await sock.close()
             return
         name = peer_hello.daemon.name
+        self._count_bytes(link)
         await self._register_link(name, link)
         try:
             if self.on_link_opened is not None:
@@ -322,6 +323,18 @@
             if self.link_by_name.get(name) is link:
                 del self.link_by_name[name]
 
+    def count_bytes(self) -> None:
+        """Count what links send by their distance, which configurations may change."""
+        for link in self.links:
+            self._count_bytes(link)
+
+    def _count_bytes(self, link: Link) -> None:
+        if link.peer is None:
+            return
+        distance = self._context.distance_to(link.peer.record.zone)
+        counter = self._context.telemetry.peer_bytes.at(distance.value)
+        link.sent_bytes_by_kind = counter
+
     async def _register_link(self, name: str, link: Link) -> None:
         # If both sides dial, there may be two links; the older one stays open for
         # the streams on it.
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -12,7 +12,7 @@
 
 from bramleyglade_adapters.telemetry import traceparent_of
 from bramleyglade_core.decisions.admission import authenticate
-from bramleyglade_core.decisions.allowed_regions import allowed_regions
+from bramleyglade_core.decisions.regions import allowed_regions
 from bramleyglade_core.decisions.routing import check_headers, check_path
 from bramleyglade_core.model.errors import (
     AttemptError,
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from bramleyglade_core.decisions.allowed_regions import allowed_regions, intersection
 from bramleyglade_core.decisions.directory import RoutableTargets
+from bramleyglade_core.decisions.regions import allowed_regions, intersection
 from bramleyglade_core.decisions.stop_schedule import ExpectedTimes
 from bramleyglade_daemon.front.attempts import Attempts
 
--- a/packages/daemon/src/bramleyglade_daemon/front/request.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/request.py
@@ -11,7 +11,7 @@
     RequestHead,
 )
 from bramleyglade_adapters.http.wire import RECEIVE_BYTES
-from bramleyglade_core.decisions.allowed_regions import AllowedRegions
+from bramleyglade_core.decisions.regions import AllowedRegions
 from bramleyglade_core.model.entities import Route, Service
 from bramleyglade_core.model.errors import BadRequest, ErrorCode
 from bramleyglade_core.model.exchange import AttemptFailed, Header
--- a/packages/standins/src/bramleyglade_standins/local_fleet.py
+++ b/packages/standins/src/bramleyglade_standins/local_fleet.py
@@ -286,6 +286,11 @@
         """Return how often the targets ran a request."""
         return sum(target.runs_by_request[request_id] for target in self.targets)
 
+    def _count_in(self, context: Context) -> int:
+        """Return how many daemons are in the region of one."""
+        region = context.settings.region
+        return sum(settings.region == region for settings in self.settings)
+
     def _is_ready(self, daemon: Daemon) -> bool:
         context = daemon.context
         return (
@@ -294,5 +299,5 @@
             and len(context.directory.candidates("catalogue")) == len(self.targets)
             and len(context.view.assignment_by_shard) == context.settings.limits.shards
             and len(daemon.peers.open_links())
-            >= min(context.settings.peers.fanout, len(self.daemons) - 1)
+            >= min(context.settings.peers.fanout, self._count_in(context) - 1)
         )
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -10,9 +10,9 @@
 from hypothesis import strategies as st
 
 from bramleyglade_adapters.structure import from_json, to_json
-from bramleyglade_core.decisions.allowed_regions import allowed_regions
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
 from bramleyglade_core.decisions.directory import Directory, RoutableTargets
+from bramleyglade_core.decisions.regions import allowed_regions
 from bramleyglade_core.decisions.ticket_check import find_problems
 from bramleyglade_core.model.announcements import (
     DaemonPhase,
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -16,8 +16,11 @@
 
 from bramleyglade_adapters.logs import JsonLineFormatter
 from bramleyglade_adapters.telemetry import Telemetry, traceparent_of
+from bramleyglade_core.decisions.regions import Distance
 from bramleyglade_core.model.settings import TelemetrySettings
+from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_daemon.front.request_log import AnswerTruncated, RequestLog
+from bramleyglade_standins.local_fleet import first_ticket
 
 
 @pytest.fixture
@@ -124,3 +127,22 @@
     with caplog.at_level(logging.INFO):
         log.write(0.5)
     assert [(r.message, r.code) for r in caplog.records] == [("RequestFailed", code)]
+
+
+def test_bytes_to_peers_are_counted_by_kind_and_distance(run_fleet):
+    """Traffic that crosses regions could not be told from traffic within a zone."""
+
+    async def scenario(fleet):
+        sent_by_distance = {
+            distance: fleet.daemons[0].context.telemetry.peer_bytes.at(distance.value)
+            for distance in Distance
+        }
+        await fleet.wait_until(
+            lambda: all(s["HeartbeatAnswered"] for s in sent_by_distance.values())
+        )
+
+    entities = tuple(
+        replace(e, region="region-2") if e.name == "zone-2" else e
+        for e in first_ticket(3).entities
+    )
+    run_fleet(scenario, daemons=6, zones=3, ticket=Ticket(1, "", entities))
