Let few daemons of a region keep links to other regions

Each daemon had neighbours in all zones and so in other regions, and each link that a request or a seed's address opened stayed.

Links to another region close after 5 s without use; heartbeats on them are not doubled while requests are in flight; target views go there only for 2 s after an offer. Batches of configuration are not pushed to other regions: relays ask for them after the next heartbeat, so that a region does not get one copy per relay link.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -9,7 +9,8 @@
 import curio
 
 from bramleyglade_adapters.link.link import LinkLost
-from bramleyglade_core.decisions.neighbours import choose_neighbours
+from bramleyglade_core.decisions.neighbours import Member, choose_neighbours
+from bramleyglade_core.decisions.regions import region_of
 from bramleyglade_core.decisions.rendezvous import winner
 from bramleyglade_core.model.errors import FleetError
 from bramleyglade_core.model.peer_messages import (
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.model.announcements import MemberRecord
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.member_records import MemberRecords
@@ -68,8 +70,9 @@
         self._shared = shared
         self._records = records
         self._store = store
-        self._chosen_version = -1
-        """Version of the directory's members that the neighbours were chosen from."""
+        self._chosen_from: tuple[int, Configuration] | None = None
+        """Version of the directory's members, and the configuration with their regions,
+        that the neighbours were chosen from."""
         self._probed: set[str] = set()
         """Keepers that are being or were just probed since a call failed."""
 
@@ -118,7 +121,9 @@
         differed = True
         while link.is_open:
             # Twice as often while requests are in flight, to detect a failure sooner.
-            pause = period / 2 if link.stream_count else period
+            # Links between regions are shared by all daemons, and few of them are open.
+            is_hurried = link.stream_count and not self._peers.is_far(link)
+            pause = period / 2 if is_hurried else period
             if self._shared.awaits_first_evidence:
                 pause = period / _FIRST_PERIODS
             if link.stream_count or self._peers.is_neighbour(link):
@@ -142,6 +147,7 @@
         while True:
             self._choose_neighbours()
             self._peers.count_bytes()
+            await self._peers.close_idle_far_links()
             for name in self._peers.neighbours:
                 await self._peers.maintain_link(name)
             if not self._peers.open_links():
@@ -265,11 +271,17 @@
         )
 
     def _choose_neighbours(self) -> None:
-        directory = self._context.directory
-        if self._chosen_version == directory.members_version:
+        directory, configuration = self._context.directory, self._context.configuration
+        chosen_from = (directory.members_version, configuration)
+        if self._chosen_from == chosen_from:
             return
-        self._chosen_version = directory.members_version
+        self._chosen_from = chosen_from
         records = directory.record_by_name
-        zone_by_name = {name: records[name].zone for name in directory.member_names()}
         settings = self._context.settings
-        self._peers.set_neighbours(choose_neighbours(settings, zone_by_name))
+        serving = set(directory.serving_names())
+        member_by_name = {}
+        for name in directory.member_names():
+            zone = records[name].zone
+            region = region_of(zone, configuration, settings)
+            member_by_name[name] = Member(zone, region, name in serving)
+        self._peers.set_neighbours(choose_neighbours(settings, member_by_name))
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -55,9 +55,6 @@
 _RECORDS_PER_MESSAGE = 200
 """Member records in one message; well below the size limit of a link."""
 
-_RECENT_SENDER_SECONDS = 10.0
-"""Time after an offer in which its sender gets target views with heartbeats."""
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -85,7 +82,6 @@
         self._shared = shared
         self._keepers = keepers
         self._guard = guard
-        self._offered_at_by_peer: dict[str, float] = {}
         self._delay_by_peer: dict[DaemonId, LinkDelay] = {}
 
     async def handle(self, link: Link, stream: int, message: Any) -> None:
@@ -207,7 +203,7 @@
     @_handle.register
     async def _(self, message: AttemptOffered, link: Link, stream: int) -> None:
         assert link.peer is not None
-        self._offered_at_by_peer[link.peer.daemon.name] = self._context.clock()
+        self._peers.note_offer(link)
         sender = ViewSender(link, stream, partial(self._guard.view_of, message.target))
         guard_stream = self._guard_stream(link, stream, sender)
         peer = link.peer.daemon
@@ -230,19 +226,12 @@
 
     def _views_for(self, link: Link) -> tuple[TargetViewTold, ...]:
         """Return target views for a peer that sends requests here or may soon."""
-        assert link.peer is not None
-        now = self._context.clock()
-        offered_at = self._offered_at_by_peer.get(
-            link.peer.daemon.name, -_RECENT_SENDER_SECONDS
-        )
         is_small = len(self._context.directory.record_by_name) <= 2 * (
             self._context.settings.peers.fanout
         )
-        return (
-            self._guard.views()
-            if is_small or now - offered_at < _RECENT_SENDER_SECONDS
-            else ()
-        )
+        may_send = is_small and not self._peers.is_far(link)
+        is_sender = may_send or self._peers.is_recent_sender(link)
+        return self._guard.views() if is_sender else ()
 
     @_handle.register
     async def _(self, message: TargetViewTold, link: Link, stream: int) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -11,6 +11,7 @@
 from bramleyglade_adapters.http.wire import connect, disable_nagle
 from bramleyglade_adapters.link.link import Link, LinkLost, encode_one_way
 from bramleyglade_core.decisions.link_choice import LinkState
+from bramleyglade_core.decisions.regions import Distance
 from bramleyglade_core.model.errors import BadInput, ErrorCode, FleetError
 from bramleyglade_core.model.peer_messages import PROTOCOL_VERSION, HelloSaid
 
@@ -32,6 +33,15 @@
 _IDLE_TIMEOUT_SECONDS = 30.0
 """Time without use after which a link is closed, unless it is to a neighbour."""
 
+_FAR_IDLE_TIMEOUT_SECONDS = 5.0
+"""The same for a link to another region."""
+
+_RECENT_SENDER_SECONDS = 10.0
+"""Time after an offer in which its sender gets target views with heartbeats."""
+
+_RECENT_FAR_SENDER_SECONDS = 2.0
+"""The same for a sender in another region."""
+
 _IDLE_CHECK_SECONDS = 2.0
 """Time between two checks whether an open link is still needed."""
 
@@ -75,6 +85,7 @@
         self._failed_at_by_name: dict[str, float] = {}
         self._link_opened_by_name: dict[str, curio.Event] = {}
         self._heartbeat_by_link: dict[Link, _UnansweredHeartbeat] = {}
+        self._offered_at_by_name: dict[str, float] = {}
 
     def open_links(self) -> list[Link]:
         """Return the open link of each linked peer."""
@@ -179,25 +190,60 @@
         link = await self.ensure_link(name)
         return await link.call(message, timeout_seconds)
 
-    async def send_to_neighbours(self, message: Any, exclude: str = "") -> None:
-        """Send a message to all neighbours but one; they forward what is new."""
+    async def send_to_neighbours(
+        self, message: Any, exclude: str = "", is_pulled: bool = False
+    ) -> None:
+        """Send a message to all neighbours but one; they forward what is new.
+
+        Args:
+            message: The message.
+            exclude: Name of the peer that it came from; empty if there is none.
+            is_pulled: Whether peers ask for the content once a heartbeat shows that
+                they lack it. It is not sent to other regions then, where several
+                relays would each get a copy of what their region may have already.
+        """
         data = encode_one_way(message)
         for link in self.neighbour_links():
-            if link.peer_name != exclude:
+            is_skipped = is_pulled and self.is_far(link)
+            if link.peer_name != exclude and not is_skipped:
                 await link.send_encoded(data, type(message).__name__)
 
     async def send_to_linked_peers(self, message: Any) -> None:
         """Send a message to all linked peers, or to a random sample if there are many.
 
-        A peer that sends requests here, or may be sent some, has a link.
+        A peer that sends requests here, or may be sent some, has a link. Peers in
+        other regions get it only if they have just sent a request.
         """
-        links = self.open_links()
+        links = [
+            link
+            for link in self.open_links()
+            if not self.is_far(link) or self.is_recent_sender(link)
+        ]
         if len(links) > _MAX_RECIPIENTS:
             links = self._context.random.sample(links, _MAX_RECIPIENTS)
         data = encode_one_way(message)
         for link in links:
             await link.send_encoded(data, type(message).__name__)
 
+    def note_offer(self, link: Link) -> None:
+        """Record that a peer has offered an attempt."""
+        self._offered_at_by_name[link.peer_name] = self._context.clock()
+
+    def is_recent_sender(self, link: Link) -> bool:
+        """Return whether a peer has offered an attempt recently and may again."""
+        bound = _RECENT_SENDER_SECONDS
+        if self.is_far(link):
+            bound = _RECENT_FAR_SENDER_SECONDS
+        offered_at = self._offered_at_by_name.get(link.peer_name, float("-inf"))
+        return self._context.clock() - offered_at < bound
+
+    def is_far(self, link: Link) -> bool:
+        """Return whether a link leads to another region."""
+        return link.peer is not None and self._is_zone_far(link.peer.record.zone)
+
+    def _is_zone_far(self, zone: str) -> bool:
+        return self._context.distance_to(zone) is Distance.OTHER_REGION
+
     def is_neighbour(self, link: Link) -> bool:
         """Return whether a link leads to a neighbour."""
         return link.peer is not None and link.peer.daemon.name in self.neighbours
@@ -273,13 +319,18 @@
     def _is_wanted(self, name: str) -> bool:
         if name not in self._context.directory.member_names():
             return False
+        zone = self._context.directory.record_by_name[name].zone
+        is_far = self._is_zone_far(zone)
+        bound = _FAR_IDLE_TIMEOUT_SECONDS if is_far else _IDLE_TIMEOUT_SECONDS
+        return name in self.neighbours or self._idle_seconds(name) < bound
+
+    def _idle_seconds(self, name: str) -> float:
         # The peer may use a link that this daemon doesn't.
         used_at = max(
             self._used_at_by_name.get(name, 0.0),
             self._last_seen_by_name.get(name, 0.0),
         )
-        idle = self._context.clock() - used_at
-        return name in self.neighbours or idle < _IDLE_TIMEOUT_SECONDS
+        return self._context.clock() - used_at
 
     async def _dial(self, name: str) -> bool:
         record = self._context.directory.record_by_name.get(name)
@@ -323,6 +374,18 @@
             if self.link_by_name.get(name) is link:
                 del self.link_by_name[name]
 
+    async def close_idle_far_links(self) -> None:
+        """Close links to other regions that neither side uses.
+
+        Links that a peer or a seed's address led to have no task that closes them.
+        """
+        for link in list(self.links):
+            if not link.is_open or link.stream_count or self.is_neighbour(link):
+                continue
+            idle_seconds = self._idle_seconds(link.peer_name)
+            if self.is_far(link) and idle_seconds >= _FAR_IDLE_TIMEOUT_SECONDS:
+                await link.close()
+
     def count_bytes(self) -> None:
         """Count what links send by their distance, which configurations may change."""
         for link in self.links:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -272,7 +272,8 @@
             _LOG.info("RevisionInForce", extra=extra)
         # A change that arrives late is below the revision already held.
         changes = view.batch_after(min(before, batch.after))
-        await self._peers.send_to_neighbours(_encode_batch(changes), exclude=source)
+        message = _encode_batch(changes)
+        await self._peers.send_to_neighbours(message, source, is_pulled=True)
         if self.on_changed is not None:
             await self.on_changed()
         return True
