--- a/tests/platform_adapter/test_broken_answers.py
+++ b/tests/platform_adapter/test_broken_answers.py
@@ -103,6 +103,24 @@
     run_platform_fleet(scenario)
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_answer_whose_status_has_no_meaning_is_malformed(run_platform_fleet, status):
+    """Callers got 600 and 999 as answers of the target."""
+
+    async def scenario(fleet):
+        def script(request_id, _):
+            return answer_with_id(request_id).replace(b"200", status, 1)
+
+        target = ScriptedTarget(script)
+        await use_only(fleet, target)
+        while not target.request_ids:
+            result = await outcome(fleet)
+        assert result[0] == 502
+        assert len(target.request_ids) == 1
+
+    run_platform_fleet(scenario)
+
+
 REFUSALS = {
     "shed": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n",
     "other instance": b"HTTP/1.1 421 Misdirected\r\nInstance-Id: i-9\r\n",
