Send requests to other zones by shares of demand and capacity

Another zone cost a fixed 0.12 s and a price per byte, whether it was 1 ms or 30 ms away, request by request and on views that are seconds old.

Each daemon now measures demand and capacity of its zone by service, exchanges them with their age in the answers to heartbeats, and computes the shares of its zone's requests that go to each zone: what the own zone can't serve with a short wait fills the zones of the region to an equal level, and what the region can't serve fills other regions. A request draws a zone by the shares, then a target in it; it goes on to the next zone, another region last, where the wait or the risk in its zone is worth more than a part of the caller's latency objective.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-from benchmarks import detection, latency, limiter, propagation, service
+from benchmarks import detection, latency, limiter, propagation, service, zones
 
 
 def main() -> None:
@@ -18,6 +18,7 @@
         "service": service.main,
         "propagation": propagation.main,
         "latency": latency.main,
+        "zones": zones.main,
     }
     names = sys.argv[1:] or list(benchmark_by_name)
     for name in names:
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -88,6 +88,23 @@
   leaseSeconds @2 :Float64;
   freshSeconds @3 :Float64;
   views @4 :List(TargetViewTold);
+  reservedForPathAdmission @5 :Void;
+  zones @6 :ZonesTold;
+}
+
+struct ServiceDemandTold { service @0 :Text; perSecond @1 :Float32; }
+
+struct ZoneLoadTold {
+  zone @0 :Text;
+  service @1 :Text;
+  demand @2 :Float32;
+  capacity @3 :Float32;
+  ageSeconds @4 :Float32;
+}
+
+struct ZonesTold {
+  demands @0 :List(ServiceDemandTold);
+  loads @1 :List(ZoneLoadTold);
 }
 
 struct CallsTold { service @0 :Text; perRun @1 :Float64; }
--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -89,6 +89,7 @@
         self._requests = EventCounter(self._meter, "bramleyglade.requests")
         self._attempts = EventCounter(self._meter, "bramleyglade.attempts")
         self._events = EventCounter(self._meter, "bramleyglade.events")
+        self._zones = EventCounter(self._meter, "bramleyglade.zone.attempts")
 
     @cached_property
     def _front_latency(self) -> Histogram:
@@ -113,6 +114,10 @@
         attributes = {"service": service}
         self._target_latency.record(seconds * _MILLISECONDS_PER_SECOND, attributes)
 
+    def note_zone(self, service: str, zone: str, reason: str) -> None:
+        """Count an attempt by the zone that it goes to, and why it goes there."""
+        self._zones.add(("service", service), ("zone", zone), ("reason", reason))
+
     def note_idle(self, service: str, seconds: float) -> None:
         """Record the time between two requests to a target."""
         attributes = {"service": service}
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -4,32 +4,42 @@
 
 import math
 import statistics
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.decisions.directory import Candidate
 from bramleyglade_core.decisions.failure_filter import decayed_risk
+from bramleyglade_core.decisions.zone_balance import (
+    DEFAULT_OBJECTIVE_SECONDS,
+    EMPTY_PLAN,
+    REGION_WAIT_SHARE,
+    ZONE_WAIT_SHARE,
+)
 from bramleyglade_core.model.identifiers import TargetId
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Container, Iterable, Sequence
+    from collections.abc import Container, Iterable, Iterator
 
+    from bramleyglade_core.decisions.zone_balance import ZonePlan
     from bramleyglade_core.model.peer_messages import TargetViewTold
 
 _MAX_COMPARED_TARGETS = 32
 """Number of targets compared for a pick; larger services are sampled."""
 
-_CROSS_ZONE_COST_SECONDS = 0.12
-"""Cost of a target in another zone, as traffic between zones is charged for. It is
-twice the rate below for the 5 KB of a typical request with its answer."""
+_BODY_BYTES_PER_SECOND = 150_000.0
+"""Rate at which a body crosses a link between zones or regions that many share."""
 
-_CROSS_ZONE_COST_SECONDS_PER_BYTE = 12e-6
-"""Additional cost per byte of a body. A gigabyte between zones costs as much as 10,000
-requests are worth, and a failed request costs 3 s here."""
+_LARGE_BODY_BYTES = 16_384
+"""Size from which a request leaves its region last."""
 
-_MAX_CROSS_ZONE_COST_SECONDS = 0.6
-"""Upper bound of that cost; a target that fails one request in four costs more."""
+_LARGE_SHARE_GAIN = 0.02
+"""Weight of one request in the average share of requests with a large body."""
+
+_TYPICAL_SECONDS = 0.25
+"""Time for which the typical latency of a service is not computed again."""
 
 _FULL_LOAD_COST_SECONDS = 0.06
 """Cost of a target with all slots in use; some targets slow down as slots fill."""
@@ -73,6 +83,19 @@
 service's targets."""
 
 
+class ZoneReason(Enum):
+    """Why a request goes to the zone of its target."""
+
+    HOME = "home"
+    """It is the front's own zone."""
+    SHARE = "share"
+    """The shares send a part of the requests there."""
+    OVERFLOW = "overflow"
+    """The zone that the request was meant for has no target that takes it in time."""
+    DUE = "due"
+    """A target there is due for a request."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetView:
     """Load and health of a target, as reported by its guard."""
@@ -119,6 +142,8 @@
     """
     body_bytes: int = 0
     """Size of the body, or an estimate of it."""
+    objective_seconds: float | None = None
+    """Latency objective, or the time left if that is less; None without one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +157,22 @@
     """Highest failure risk at which the guard should accept the request, 0 to 1."""
     is_for_due: bool = False
     """Whether the target was chosen because it was due for a request."""
+    reason: ZoneReason = ZoneReason.HOME
+    """Why the request goes to the target's zone."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Groups:
+    """The targets of a service by their distance."""
+
+    candidates: Sequence[Candidate]
+    """The targets that were grouped."""
+    region_by_zone: Mapping[str, str]
+    by_zone: Mapping[str, Sequence[Candidate]]
+    near: Sequence[Candidate]
+    """Those in other zones of the region."""
+    far: Sequence[Candidate]
+    """Those in other regions."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +196,14 @@
         self._avoidance_by_target: dict[TargetId, _Avoidance] = {}
         self._due_targets: set[TargetId] = set()
         """Targets that were due at their last report."""
+        self._typical_by_service: dict[str, tuple[float, float]] = {}
+        """Time and result of the last computation of the typical latency."""
+        self._groups_by_service: dict[str, _Groups] = {}
+        self._large_share = 0.0
+        """Average share of the requests that have a large body."""
         self.view_by_target: dict[TargetId, TargetView] = {}
+        self.plan: ZonePlan = EMPTY_PLAN
+        """Regions, latencies and shares of the zones."""
 
     def pick(
         self,
@@ -175,16 +223,26 @@
         """
         due = self._pick_due(candidates, tried, options)
         if due is not None:
-            return replace(self._make_pick(due, options), is_for_due=True)
-        sample = candidates
-        if len(candidates) > _MAX_COMPARED_TARGETS:
-            sample = self._random.sample(candidates, _MAX_COMPARED_TARGETS)
-        best = self._pick_cheapest(sample, tried, options)
-        if best is None or self._is_last_resort(best, options):
-            best = self._pick_cheapest(candidates, tried, options)
+            pick = self._make_pick(due, options, ZoneReason.DUE)
+            return replace(pick, is_for_due=True)
+        if not candidates:
+            return None
+        typical = self._typical(candidates, options.now)
+        best: Candidate | None = None
+        best_cost = math.inf
+        drawn = self._draw_zone(candidates[0].announcement.service, options)
+        for tier, extra_seconds in self._tiers(candidates, drawn, options):
+            # A farther target isn't worth the way if it is only as good as most are.
+            if best is not None and best_cost <= typical + extra_seconds:
+                break
+            found, cost = self._pick_in_tier(tier, tried, options, typical)
+            if found is not None and (best is None or cost + extra_seconds < best_cost):
+                best, best_cost = found, cost + extra_seconds
         if best is None:
             return None
-        return self._make_pick(best, options)
+        is_drawn = best.zone == drawn
+        reason = ZoneReason.SHARE if is_drawn else ZoneReason.OVERFLOW
+        return self._make_pick(best, options, reason)
 
     def update_views(
         self, daemon: str, views: Iterable[TargetViewTold], now: float
@@ -299,6 +357,10 @@
             return False
         if self._is_avoided(candidate.target, options.now):
             return False
+        if not self._is_near(candidate) and not (
+            view.is_overdue and options.body_bytes < _LARGE_BODY_BYTES
+        ):
+            return False
         if not options.may_probe and (view.is_ejected or not view.is_overdue):
             return False
         return self._is_free(candidate, options.now)
@@ -307,13 +369,22 @@
         avoidance = self._avoidance_by_target.get(target)
         return avoidance is not None and now < avoidance.until
 
-    def _make_pick(self, candidate: Candidate, options: PickOptions) -> Pick:
+    def _make_pick(
+        self, candidate: Candidate, options: PickOptions, reason: ZoneReason
+    ) -> Pick:
         view = self.view_by_target.get(candidate.target)
         is_free = self._is_free(candidate, options.now)
-        if view is None:
-            return Pick(candidate, is_free, _DEFAULT_MAX_RISK)
-        risk = decayed_risk(view.risk, options.now - view.received_at)
-        return Pick(candidate, is_free, min(1.0, risk + _RISK_TOLERANCE))
+        most_risk = _DEFAULT_MAX_RISK
+        if view is not None:
+            risk = decayed_risk(view.risk, options.now - view.received_at)
+            most_risk = min(1.0, risk + _RISK_TOLERANCE)
+        if candidate.zone == self._zone:
+            reason = ZoneReason.HOME
+        return Pick(candidate, is_free, most_risk, reason=reason)
+
+    def _is_near(self, candidate: Candidate) -> bool:
+        """Return whether a target is in the front's own region."""
+        return self.plan.is_same_region(candidate.zone, self._zone)
 
     def _is_free(self, candidate: Candidate, now: float) -> bool:
         """Return whether a target is estimated to start a request at once."""
@@ -325,24 +396,122 @@
             return False
         return max(in_flight, view.busy) < view.limit
 
+    def _tiers(
+        self, candidates: Sequence[Candidate], drawn: str, options: PickOptions
+    ) -> Iterator[tuple[Sequence[Candidate], float]]:
+        """Yield the targets by zone, in the order in which they are considered.
+
+        The first tier is the zone drawn by the shares; the other zones of the region
+        and those of other regions follow. With each comes the wait, in seconds, that
+        a request accepts in a nearer one.
+        """
+        groups = self._group(candidates)
+        if drawn in groups.by_zone:
+            yield groups.by_zone[drawn], 0.0
+        if drawn != self._zone and self._zone in groups.by_zone:
+            yield groups.by_zone[self._zone], 0.0
+        objective = options.objective_seconds
+        if objective is None:
+            objective = DEFAULT_OBJECTIVE_SECONDS
+        body_seconds = options.body_bytes / _BODY_BYTES_PER_SECOND
+        if groups.near:
+            yield groups.near, ZONE_WAIT_SHARE * objective + body_seconds
+        if groups.far:
+            yield groups.far, REGION_WAIT_SHARE * objective + body_seconds
+
+    def _group(self, candidates: Sequence[Candidate]) -> _Groups:
+        """Return the targets of a service by zone, which are kept until they change."""
+        service = candidates[0].announcement.service
+        groups = self._groups_by_service.get(service)
+        regions = self.plan.region_by_zone
+        if (
+            groups is not None
+            and groups.candidates is candidates
+            and groups.region_by_zone is regions
+        ):
+            return groups
+        by_zone: dict[str, list[Candidate]] = {}
+        for candidate in candidates:
+            by_zone.setdefault(candidate.zone, []).append(candidate)
+        near: list[Candidate] = []
+        far: list[Candidate] = []
+        for zone, members in by_zone.items():
+            if zone != self._zone:
+                is_near = self.plan.is_same_region(zone, self._zone)
+                (near if is_near else far).extend(members)
+        groups = _Groups(candidates, regions, by_zone, near, far)
+        self._groups_by_service[service] = groups
+        return groups
+
+    def _draw_zone(self, service: str, options: PickOptions) -> str:
+        """Draw a zone by the shares; large requests leave the region last."""
+        is_large = options.body_bytes >= _LARGE_BODY_BYTES
+        self._large_share += _LARGE_SHARE_GAIN * (is_large - self._large_share)
+        share_by_zone = self.plan.share_by_zone_by_service.get(service)
+        if not share_by_zone:
+            return self._zone
+        near = [
+            zone for zone in share_by_zone if self.plan.is_same_region(zone, self._zone)
+        ]
+        far = [zone for zone in share_by_zone if zone not in near]
+        zones = near
+        if far:
+            leaving = sum(share_by_zone[zone] for zone in far)
+            if self._random.random() < _leaving_chance(
+                leaving, self._large_share, is_large
+            ):
+                zones = far
+        weights = [share_by_zone[zone] for zone in zones]
+        if not any(weights):
+            return self._zone
+        return self._random.choices(zones, weights)[0]
+
+    def _pick_in_tier(
+        self,
+        tier: Sequence[Candidate],
+        tried: Container[TargetId],
+        options: PickOptions,
+        typical: float,
+    ) -> tuple[Candidate | None, float]:
+        """Return the choice among some targets and its cost; None if all are tried."""
+        if len(tier) > _MAX_COMPARED_TARGETS:
+            sample = self._random.sample(tier, _MAX_COMPARED_TARGETS)
+            found, cost = self._pick_cheapest(sample, tried, options, typical)
+            if found is not None and math.isfinite(cost):
+                return found, cost
+        return self._pick_cheapest(tier, tried, options, typical)
+
     def _pick_cheapest(
         self,
         candidates: Sequence[Candidate],
         tried: Container[TargetId],
         options: PickOptions,
-    ) -> Candidate | None:
-        typical = self.typical_seconds(candidates) or _DEFAULT_LATENCY_SECONDS
+        typical: float,
+    ) -> tuple[Candidate | None, float]:
         costs = [
             (self._cost(c, options, typical), c)
             for c in candidates
             if c.target not in tried
         ]
         if not costs:
-            return None
-        bound = min(cost for cost, _ in costs) + _COST_TOLERANCE_SECONDS
+            return None, math.inf
+        least = min(cost for cost, _ in costs)
+        bound = least + _COST_TOLERANCE_SECONDS
         best = [c for cost, c in costs if cost <= bound]
         free = [c for c in best if self._is_free(c, options.now)]
-        return self._random.choice(free or best)
+        return self._random.choice(free or best), least
+
+    def _typical(self, candidates: Sequence[Candidate], now: float) -> float:
+        """Return the typical latency of a service in seconds, or a default.
+
+        It is the same for all zones, so that a zone of slow targets is left.
+        """
+        service = candidates[0].announcement.service
+        computed_at, typical = self._typical_by_service.get(service, (-math.inf, 0.0))
+        if not 0 <= now - computed_at < _TYPICAL_SECONDS:
+            typical = self.typical_seconds(candidates) or _DEFAULT_LATENCY_SECONDS
+            self._typical_by_service[service] = (now, typical)
+        return typical
 
     def typical_seconds(self, candidates: Iterable[Candidate]) -> float | None:
         """Return the median latency of targets in seconds; None without reports."""
@@ -381,28 +550,24 @@
         self, candidate: Candidate, options: PickOptions, typical: float
     ) -> float:
         """Return the expected cost of a request at a target, as seconds of latency."""
-        if self._is_last_resort(candidate, options):
+        target = candidate.target
+        if target in self._avoidance_by_target and self._is_avoided(
+            target, options.now
+        ):
             return math.inf
-        in_flight = self._in_flight_by_target.get(candidate.target, 0)
-        view = self.view_by_target.get(candidate.target)
+        in_flight = self._in_flight_by_target.get(target, 0)
+        view = self.view_by_target.get(target)
         if view is None:
             view = TargetView(candidate.announcement.slots, in_flight)
+        elif view.is_ejected or (view.is_trial and in_flight > 0):
+            # Used only if no other target is left.
+            return math.inf
         return (
             self._latency_cost(view, in_flight, typical, options.now)
-            + self._zone_cost(candidate, options)
+            + self.plan.extra_seconds_by_zone.get(candidate.zone, 0.0)
             + self._failure_cost(view, options)
         )
 
-    def _is_last_resort(self, candidate: Candidate, options: PickOptions) -> bool:
-        """Return whether a target is used only if no other is left."""
-        if self._is_avoided(candidate.target, options.now):
-            return True
-        view = self.view_by_target.get(candidate.target)
-        if view is None:
-            return False
-        in_flight = self._in_flight_by_target.get(candidate.target, 0)
-        return view.is_ejected or (view.is_trial and in_flight > 0)
-
     def _latency_cost(
         self, view: TargetView, in_flight: int, typical: float, now: float
     ) -> float:
@@ -416,12 +581,6 @@
         wait_seconds = _wait_seconds(view, in_flight, latency, now)
         return latency + wait_seconds + _FULL_LOAD_COST_SECONDS * min(1.0, busy / limit)
 
-    def _zone_cost(self, candidate: Candidate, options: PickOptions) -> float:
-        if candidate.zone == self._zone:
-            return 0.0
-        body = _CROSS_ZONE_COST_SECONDS_PER_BYTE * options.body_bytes
-        return min(_MAX_CROSS_ZONE_COST_SECONDS, _CROSS_ZONE_COST_SECONDS + body)
-
     def _failure_cost(self, view: TargetView, options: PickOptions) -> float:
         risk = decayed_risk(view.risk, options.now - view.received_at)
         loss = (
@@ -440,3 +599,20 @@
     busy = max(in_flight, view.busy)
     queue_seconds = max(0, busy + 1 - limit) / limit * latency
     return max(queue_seconds, view.remaining_wait(now))
+
+
+def _leaving_chance(leaving: float, large_share: float, is_large: bool) -> float:
+    """Return the chance that a request leaves the region.
+
+    Args:
+        leaving: Share of all requests that leave the region, 0 to 1.
+        large_share: Share of the requests that have a large body, 0 to 1. They leave
+            only if all others do.
+        is_large: Whether this request has one.
+    """
+    small_share = 1.0 - large_share
+    if not is_large:
+        return min(1.0, leaving / small_share) if small_share > 0 else 1.0
+    if large_share <= 0:
+        return leaving
+    return max(0.0, leaving - small_share) / large_share
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -61,6 +61,37 @@
     """How long a new request would wait for the rate that the target allows."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceDemandTold:
+    """Requests for a service that arrive at the sender's front."""
+
+    service: str
+    per_second: float
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneLoadTold:
+    """Demand and capacity of one service in one zone."""
+
+    zone: str
+    service: str
+    demand: float
+    """Requests per second that arrive at the fronts of the zone."""
+    capacity: float
+    """Requests per second that the targets of the zone can serve."""
+    age_seconds: float
+    """Time since the two were measured."""
+
+
+@dataclass(frozen=True, slots=True)
+class ZonesTold:
+    """Demand at the sender's front, and what it knows of the loads of zones."""
+
+    demands: tuple[ServiceDemandTold, ...] = ()
+    loads: tuple[ZoneLoadTold, ...] = ()
+    """Some of the loads; empty in most messages."""
+
+
 @dataclass(frozen=True, slots=True)
 class HeartbeatSent:
     """A periodic message that expects an answer."""
@@ -82,6 +113,8 @@
     fresh_seconds: float
     """Part of that time that rests on a read of the store; 0 if none."""
     views: tuple[TargetViewTold, ...] = ()
+    zones: ZonesTold = ZonesTold()
+    """Demand and capacity by zone."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -18,6 +18,7 @@
 from bramleyglade_daemon.fleet.message_handler import MessageHandler
 from bramleyglade_daemon.fleet.peers import Peers
 from bramleyglade_daemon.fleet.shared_state import SharedState
+from bramleyglade_daemon.fleet.zone_balancer import ZoneBalancer
 from bramleyglade_daemon.front.caller_task import Front
 from bramleyglade_daemon.front.dispatcher import Dispatcher
 from bramleyglade_daemon.front.guard_ports import GuardPorts
@@ -117,6 +118,7 @@
             self.limiter.run,
             self.guard.watch_targets,
             self.guard.watch_due,
+            ZoneBalancer(self.context).run,
             ReportReader(self.guard).run,
             Ejector(self.context, self.guard, self.keepers).run,
             *self.adapter_tasks,
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -14,6 +14,7 @@
 from bramleyglade_core.decisions.retry_budget import RetryBudgets
 from bramleyglade_core.decisions.shared_view import SharedView
 from bramleyglade_core.decisions.splitter import Splitter
+from bramleyglade_core.decisions.zone_loads import ZoneLoads
 from bramleyglade_core.model.announcements import DaemonPhase, MemberRecord
 from bramleyglade_core.model.identifiers import DaemonId
 
@@ -66,6 +67,7 @@
         self.picker = Picker(settings.zone, self.random)
         self.retry_budgets = RetryBudgets(settings.front, clock())
         self.splitter = Splitter(self.random)
+        self.zone_loads = ZoneLoads(settings.zone)
         self.dialect: Dialect = dialect or FleetDialect(settings.front)
         self.phase = DaemonPhase.SERVING
         self.stop_schedule: StopSchedule | None = None
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -168,10 +168,21 @@
             await link.close()
             return False
         self._peers.mark_seen(name)
+        self._note_zones(name, answer, self._context.clock() - sent_at)
         self._context.update_views(name, answer.views)
         await self._shared.apply_heartbeat_answer(link, answer, sent_at)
         return answer.members_digest != self._context.directory.digest
 
+    def _note_zones(self, name: str, answer: HeartbeatAnswered, seconds: float) -> None:
+        """Store what a peer reports of the zones, and the round trip to its zone."""
+        record = self._context.directory.record_by_name.get(name)
+        if record is None:
+            return
+        loads = self._context.zone_loads
+        loads.note_round_trip(record.zone, seconds)
+        now, configuration = self._context.clock(), self._context.configuration
+        loads.note_report(name, record.zone, answer.zones, configuration, now)
+
     async def _probe_unresponsive(self) -> None:
         """Start an indirect probe of each neighbour that has stopped answering."""
         bound = self._context.settings.peers.suspect_seconds
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -109,6 +109,9 @@
             lease_seconds=lease.remaining_seconds,
             fresh_seconds=lease.fresh_seconds,
             views=self._views_for(link),
+            zones=self._context.zone_loads.report_for(
+                link.peer_name, self._context.clock()
+            ),
         )
         await self._send_answer(link, stream, answer)
 
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -137,6 +137,9 @@
         self._tried.add(candidate.target)
         self._context.picker.note_sent(candidate.target)
         self._log.note_attempt(candidate.target)
+        self._context.telemetry.note_zone(
+            self._request.service.name, candidate.zone, pick.reason.value
+        )
         offered = self._make_offer(pick)
         port = self._dispatcher.port(candidate)
         self._count += 1
@@ -433,6 +436,7 @@
             is_retryable=is_retryable,
             may_probe=is_retryable and self._count == 0,
             body_bytes=_ASSUMED_BODY_BYTES if stated is None else stated,
+            objective_seconds=self._longest_wait_seconds(),
         )
         self._dispatcher.refresh_local_views()
         return self._context.picker.pick(candidates, self._tried, options)
@@ -474,6 +478,14 @@
         end = request.arrived_at + request.route.objective_seconds
         return max(0.0, end - self._context.clock())
 
+    def _longest_wait_seconds(self) -> float | None:
+        """Return the latency objective, or the time left if that is less."""
+        objective = self._request.route.objective_seconds
+        if objective is None:
+            return None
+        left = self._request.deadline - self._context.clock()
+        return max(0.0, min(objective, left))
+
     async def _ask_outcome(self, attempt: OpenAttempt) -> AttemptStream:
         remaining_seconds = self._request.deadline - self._context.clock()
         offered = replace(
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -43,7 +43,9 @@
         self._last_request += 1
         budgets = self._context.retry_budgets
         budgets.set_fleet_size(len(self._context.directory.record_by_name))
-        budgets.note_first_attempt(request.service.name, self._context.clock())
+        now = self._context.clock()
+        budgets.note_first_attempt(request.service.name, now)
+        self._context.zone_loads.note_arrival(request.service.name, now)
         if not request.team:
             budgets.note_call(request.service.name)
         return Attempts(self, request, feeder, hop, log, self._last_request)
