--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -13,6 +13,7 @@
     limiter,
     propagation,
     service,
+    zones,
 )
 
 
@@ -26,6 +27,7 @@
         "propagation": propagation.main,
         "latency": latency.main,
         "control_traffic": control_traffic.main,
+        "zones": zones.main,
     }
     names = sys.argv[1:] or list(benchmark_by_name)
     for name in names:
