Reject new work that finds no capacity on its path at once

Requests were admitted although a service that their execution calls was full. They took slots for seconds, then their calls were rejected and they failed; less urgent work that needs no calls was served best.

Before the body is read and before any attempt, a front now estimates from its own views and its neighbours' whether the request's service and those that it is expected to call have capacity in time. If not, it answers 503 "no-capacity", not run, with a Retry-After. The least urgent priority is rejected first. Calls are never rejected by it, nothing is while slots are free, and without enough fresh views requests are admitted as before. It is skipped unless there are several priorities, or runs of the service make calls or calls lead to it.

Views carry the queue by rank (@12) and the mean calls over all runs (@13); answers to neighbours' heartbeats carry sums by service (HeartbeatAnswered @5).

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -88,6 +88,19 @@
   leaseSeconds @2 :Float64;
   freshSeconds @3 :Float64;
   views @4 :List(TargetViewTold);
+  loads @5 :List(ServiceLoadTold);
+}
+
+struct ServiceLoadTold {
+  service @0 :Text;
+  targets @1 :UInt32;
+  slots @2 :Float64;
+  free @3 :Float64;
+  running @4 :Float64;
+  throughput @5 :Float64;
+  seconds @6 :Float64;
+  queued @7 :List(UInt32);
+  calls @8 :List(CallsTold);
 }
 
 struct CallsTold { service @0 :Text; perRun @1 :Float64; }
@@ -105,6 +118,8 @@
   isDue @9 :Bool;
   isOverdue @10 :Bool;
   waitSeconds @11 :Float64;
+  queued @12 :List(UInt32);
+  runCalls @13 :List(CallsTold);
 }
 
 struct BatchAsked { after @0 :UInt64; }
--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -89,6 +89,10 @@
         self._requests = EventCounter(self._meter, "bramleyglade.requests")
         self._attempts = EventCounter(self._meter, "bramleyglade.attempts")
         self._events = EventCounter(self._meter, "bramleyglade.events")
+        self._path_rejections = EventCounter(
+            self._meter, "bramleyglade.path.rejections"
+        )
+        self._rejected_calls = EventCounter(self._meter, "bramleyglade.calls.rejected")
 
     @cached_property
     def _front_latency(self) -> Histogram:
@@ -118,6 +122,14 @@
         attributes = {"service": service}
         self._target_idle.record(seconds * _MILLISECONDS_PER_SECOND, attributes)
 
+    def note_path_rejection(self, route: str, short_service: str) -> None:
+        """Count a request rejected because a service on its path lacked capacity."""
+        self._path_rejections.add(("route", route), ("service", short_service))
+
+    def note_rejected_call(self, route: str, code: str) -> None:
+        """Count a call that was rejected, so that its parent's work may be lost."""
+        self._rejected_calls.add(("route", route), ("code", code))
+
     def note_event(self, name: str) -> None:
         """Count an event that matters to operators."""
         self._events.add(("event", name))
--- a/packages/core/src/bramleyglade_core/decisions/configuration.py
+++ b/packages/core/src/bramleyglade_core/decisions/configuration.py
@@ -102,6 +102,13 @@
         """Routes in force."""
         return self._entities(Route)
 
+    @cached_property
+    def priorities(self) -> tuple[int, ...]:
+        """Priorities in use, the most urgent first."""
+        routes = {route.priority for route in self.route_by_name.values()}
+        teams = {team.priority for team in self.team_by_name.values()}
+        return tuple(sorted(routes | {p for p in teams if p is not None}))
+
     @cached_property
     def team_by_key_hash(self) -> dict[str, Team]:
         """Team of each key in force, by the SHA-256 of the key."""
--- a/packages/core/src/bramleyglade_core/decisions/fair_queue.py
+++ b/packages/core/src/bramleyglade_core/decisions/fair_queue.py
@@ -41,6 +41,13 @@
             for items in teams.values()
         )
 
+    def count_by_rank(self) -> dict[int, int]:
+        """Return the number of queued items of each rank."""
+        return {
+            rank: sum(len(items) for items in teams.values())
+            for rank, teams in self._teams_by_rank.items()
+        }
+
     def push(self, team: str, item: Item, rank: int = 0) -> Item | None:
         """Add an item.
 
--- a/packages/core/src/bramleyglade_core/decisions/objective_queue.py
+++ b/packages/core/src/bramleyglade_core/decisions/objective_queue.py
@@ -33,6 +33,10 @@
         """Return the number of items ahead of a new one of a rank."""
         return self._queue.ahead_of(rank)
 
+    def count_by_rank(self) -> dict[int, int]:
+        """Return the number of queued items of each rank, late ones at the last."""
+        return self._queue.count_by_rank()
+
     def push(
         self, team: str, item: Item, rank: int = 0, objective_at: float | None = None
     ) -> Item | None:
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -94,6 +94,8 @@
     wait_seconds: float = 0.0
     """How long a new request would have waited, when the view was received, for the
     rate that the target allows."""
+    queued: tuple[int, ...] = ()
+    """Queued requests by rank, calls of executing requests first; empty if unknown."""
     received_at: float = 0.0
     """Time of receipt by this process's clock, in seconds."""
 
@@ -207,10 +209,15 @@
                 is_due=view.is_due,
                 is_overdue=view.is_overdue,
                 wait_seconds=view.wait_seconds,
+                queued=view.queued,
                 received_at=now,
             )
             self._note_due(TargetId(daemon, view.name), view.is_due)
 
+    def in_flight(self, target: TargetId) -> int:
+        """Return the attempts of this front that are in flight at a target."""
+        return self._in_flight_by_target.get(target, 0)
+
     def note_sent(self, target: TargetId) -> None:
         """Count an attempt as in flight."""
         self._due_targets.discard(target)
--- a/packages/core/src/bramleyglade_core/model/errors.py
+++ b/packages/core/src/bramleyglade_core/model/errors.py
@@ -29,6 +29,7 @@
     RATE_EXCEEDED = "rate-exceeded"
     LIMIT_UNKNOWN = "limit-unknown"
     NO_TARGET = "no-target"
+    NO_CAPACITY = "no-capacity"
     QUEUE_FULL = "queue-full"
     DEADLINE_TOO_SHORT = "deadline-too-short"
     DEADLINE_EXCEEDED = "deadline-exceeded"
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -59,6 +59,33 @@
     """Whether the next request of any kind should go to it."""
     wait_seconds: float = 0.0
     """How long a new request would wait for the rate that the target allows."""
+    queued: tuple[int, ...] = ()
+    """Queued requests by rank, calls of executing requests first; empty without."""
+    run_calls: tuple[CallsTold, ...] = ()
+    """Services that its runs call, as means over all runs."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLoadTold:
+    """Sums over the targets of a service of which the sender has fresh views."""
+
+    service: str
+    targets: int
+    """Number of these targets."""
+    slots: float
+    """Their concurrency limits, without ejected ones."""
+    free: float
+    """Their free slots, without the share that failing targets would lose."""
+    running: float
+    """Requests that run."""
+    throughput: float
+    """Requests per second that succeed with all slots in use."""
+    seconds: float
+    """Mean time of a request at a slot."""
+    queued: tuple[int, ...] = ()
+    """Queued requests by rank, calls of executing requests first."""
+    calls: tuple[CallsTold, ...] = ()
+    """Services that runs of the service call, as means over all runs."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +109,8 @@
     fresh_seconds: float
     """Part of that time that rests on a read of the store; 0 if none."""
     views: tuple[TargetViewTold, ...] = ()
+    loads: tuple[ServiceLoadTold, ...] = ()
+    """Load of services that the sender admits requests to."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -8,10 +8,12 @@
 
 from bramleyglade_adapters.clocks import boot_clock
 from bramleyglade_adapters.http.fleet_dialect import FleetDialect
-from bramleyglade_core.decisions.directory import Directory
+from bramleyglade_core.decisions.directory import Directory, RoutableTargets
 from bramleyglade_core.decisions.lease import Lease, StoreContact
 from bramleyglade_core.decisions.picker import Picker
 from bramleyglade_core.decisions.retry_budget import RetryBudgets
+from bramleyglade_core.decisions.run_calls import RunCalls
+from bramleyglade_core.decisions.service_loads import ServiceLoads
 from bramleyglade_core.decisions.shared_view import SharedView
 from bramleyglade_core.decisions.splitter import Splitter
 from bramleyglade_core.model.announcements import DaemonPhase, MemberRecord
@@ -22,6 +24,7 @@
 
     from bramleyglade_adapters.telemetry import Telemetry
     from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.decisions.directory import Candidate
     from bramleyglade_core.decisions.stop_schedule import StopSchedule
     from bramleyglade_core.model.announcements import TargetAnnouncement, TargetRun
     from bramleyglade_core.model.peer_messages import TargetViewTold
@@ -65,6 +68,11 @@
         self.contact = StoreContact(clock)
         self.picker = Picker(settings.zone, self.random)
         self.retry_budgets = RetryBudgets(settings.front, clock())
+        self.run_calls = RunCalls()
+        self._routable = RoutableTargets(self.directory)
+        self.loads = ServiceLoads(
+            self.routable_targets, self.picker, self.run_calls, self.random
+        )
         self.splitter = Splitter(self.random)
         self.dialect: Dialect = dialect or FleetDialect(settings.front)
         self.phase = DaemonPhase.SERVING
@@ -122,6 +130,14 @@
         self.picker.update_views(daemon, views, self.clock())
         for view in views:
             self.retry_budgets.learn_calls(view.service, view.calls)
+            self.run_calls.learn(view.service, view.run_calls)
+
+    def routable_targets(self, service: str) -> list[Candidate]:
+        """Return the targets of a service that take new work, in its zones in use."""
+        configured = self.configuration.service_by_name.get(service)
+        if configured is None:
+            return []
+        return self._routable.find(configured, self.configuration)
 
     def renew_record(self) -> MemberRecord:
         """Create a new member record, with a higher sequence than any known one."""
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -169,6 +169,7 @@
             return False
         self._peers.mark_seen(name)
         self._context.update_views(name, answer.views)
+        self._context.loads.learn(name, answer.loads, self._context.clock())
         await self._shared.apply_heartbeat_answer(link, answer, sent_at)
         return answer.members_digest != self._context.directory.digest
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -29,6 +29,7 @@
     RecordsTold,
     RetriesAsked,
     RetriesLent,
+    ServiceLoadTold,
     SightAsked,
     SuspicionTold,
     TargetViewTold,
@@ -109,6 +110,7 @@
             lease_seconds=lease.remaining_seconds,
             fresh_seconds=lease.fresh_seconds,
             views=self._views_for(link),
+            loads=self._loads_for(link),
         )
         await self._send_answer(link, stream, answer)
 
@@ -244,6 +246,12 @@
             else ()
         )
 
+    def _loads_for(self, link: Link) -> tuple[ServiceLoadTold, ...]:
+        """Return the load of services in use here, for neighbours only."""
+        if not self._peers.is_neighbour(link):
+            return ()
+        return self._context.loads.told(self._context.clock())
+
     @_handle.register
     async def _(self, message: TargetViewTold, link: Link, stream: int) -> None:
         assert link.peer is not None
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -79,6 +79,8 @@
         self._attempts: Attempts | None = None
         self._task: curio.Task | None = None
         """Serves the request; None before and after that."""
+        self._call: AdmittedRequest | None = None
+        """The request if it is a call of an executing request."""
         self._is_given_up = False
         self._is_answering = False
         """Whether the final answer waits for its turn or is being sent."""
@@ -98,6 +100,7 @@
             await self._serve_until_given_up(head, hop, log)
         except FleetError as error:
             log.note_error(error)
+            self._note_rejected_call(error)
             await self.refuse(error, log.request_id)
         except BaseException as error:
             log.note_unanswered(error)
@@ -171,10 +174,16 @@
         team = authenticate(configuration, route, metadata.key, is_valid)
         log.note_route(self._context.view.revision, route, team)
         self._check_stop(metadata, route, has_key=team is not None)
+        is_call = self._is_call(route, metadata)
+        if not route.split and not is_call:
+            # Before the limiter, as a rejection must not use up a team's rate.
+            self._check_path(route, team, metadata, route.service)
         if team is not None and not team.is_unlimited:
             await self._front.limiter.admit(team)
         service_name = self._context.splitter.choose(route)
         service = configuration.service_by_name.get(service_name)
+        if route.split and not is_call:
+            self._check_path(route, team, metadata, service_name)
         if service is None:
             raise AttemptError(
                 ErrorCode.NO_TARGET, "the route's service does not exist"
@@ -191,10 +200,47 @@
             deadline=arrived_at + timeout_of(metadata, route, service),
             headers=self._context.dialect.forwarded_headers(head.headers, forwarded),
             priority=_priority(route, team),
-            is_call=self._is_call(route, metadata),
+            is_call=is_call,
             arrived_at=arrived_at,
         )
 
+    def _check_path(
+        self, route: Route, team: Team | None, metadata: CallerMetadata, name: str
+    ) -> None:
+        """Reject new work for which a service on its path has no capacity in time.
+
+        Raises:
+            AttemptError: With the verdict `not-run` and a retry delay.
+        """
+        service = self._context.configuration.service_by_name.get(name)
+        if service is None:
+            return
+        seconds_left = timeout_of(metadata, route, service)
+        if route.objective_seconds is not None:
+            seconds_left = min(seconds_left, route.objective_seconds)
+        priority = _priority(route, team)
+        dispatcher = self._front.dispatcher
+        shortage = dispatcher.find_shortage(name, priority, seconds_left)
+        if shortage is None:
+            return
+        self._context.telemetry.note_path_rejection(route.name, shortage.service)
+        raise AttemptError(
+            ErrorCode.NO_CAPACITY,
+            f"service {shortage.service} is short of capacity; expected wait "
+            f"{shortage.wait_seconds:.2f} s, allowed {shortage.allowed_seconds:.2f} s "
+            f"at priority {priority}",
+            retry_after=shortage.retry_after,
+        )
+
+    def _note_rejected_call(self, error: FleetError) -> None:
+        """Count a call that was rejected while its parent request executes."""
+        if self._call is None or error.verdict is not Verdict.NOT_RUN:
+            return
+        route = self._call.route.name
+        self._context.telemetry.note_rejected_call(route, error.code.value)
+        extra = {"route": route, "code": error.code.value, "why": error.detail}
+        _LOG.info("CallRejected", extra=extra)
+
     def _is_call(self, route: Route, metadata: CallerMetadata) -> bool:
         """Return whether a target on this VM sent the request during an execution."""
         if not route.open_to_all or metadata.key:
@@ -234,6 +280,8 @@
             )
 
     async def _run(self, request: AdmittedRequest, hop: Hop, log: RequestLog) -> None:
+        if request.is_call:
+            self._call = request
         limits = self._context.configuration.caller_limits
         feeder = BodyFeeder(self._connection, self._pipe, limits)
         hop.set_attribute("route", request.route.name)
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.decisions.directory import RoutableTargets
+from bramleyglade_core.decisions.path_admission import NewWork, PathAdmission
 from bramleyglade_core.decisions.stop_schedule import ExpectedTimes
 from bramleyglade_daemon.front.attempts import Attempts
 
 if TYPE_CHECKING:
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.directory import Candidate
+    from bramleyglade_core.decisions.path_admission import Shortage
     from bramleyglade_core.model.verdict import Verdict
     from bramleyglade_core.ports.streams import AttemptPort
     from bramleyglade_daemon.fleet.context import Context
@@ -30,6 +33,9 @@
         self._ports = ports
         self._retries = retries
         self._routable = RoutableTargets(context.directory)
+        self._path_admission = PathAdmission(
+            context.loads.load, context.run_calls, context.random
+        )
         self._last_request = 0
 
     def start(
@@ -44,6 +50,8 @@
         budgets = self._context.retry_budgets
         budgets.set_fleet_size(len(self._context.directory.record_by_name))
         budgets.note_first_attempt(request.service.name, self._context.clock())
+        if request.is_call:
+            self._context.run_calls.note_call(request.service.name)
         if not request.team:
             budgets.note_call(request.service.name)
         return Attempts(self, request, feeder, hop, log, self._last_request)
@@ -75,6 +83,26 @@
         configuration = self._context.configuration
         return self._routable.find(request.service, configuration)
 
+    def find_shortage(
+        self, service: str, priority: int, seconds_left: float
+    ) -> Shortage | None:
+        """Return why new work would find no capacity in time; None to admit it.
+
+        This is decided only where it matters: if calls are made by the service's runs
+        or lead to it, or if there are several priorities.
+
+        Args:
+            service: The service of the request.
+            priority: Priority of the request; 0 is the most urgent.
+            seconds_left: Time left until its latency objective or its deadline.
+        """
+        priorities = self._context.configuration.priorities
+        if len(priorities) <= 1 and not self._context.run_calls.is_on_path(service):
+            return None
+        level = bisect_left(priorities, priority)
+        work = NewWork(service, priority, level, seconds_left)
+        return self._path_admission.find_shortage(work, self._context.clock())
+
     def expected_times(self, service: str) -> ExpectedTimes:
         """Return how long an answer of a service is expected to take now."""
         self.refresh_local_views()
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -17,6 +17,7 @@
 from bramleyglade_core.decisions.objective_queue import ObjectiveQueue
 from bramleyglade_core.decisions.ramp import ConcurrencyRamp
 from bramleyglade_core.decisions.request_rate import RequestRateLimiter
+from bramleyglade_core.decisions.service_loads import QUEUE_RANKS, rank_index
 from bramleyglade_core.model.errors import AttemptError, ErrorCode, FleetError
 from bramleyglade_core.model.peer_messages import TargetViewTold
 from bramleyglade_core.model.verdict import Verdict
@@ -150,8 +151,19 @@
             is_due=due is not _Due.NO,
             is_overdue=due is _Due.FOR_ANY,
             wait_seconds=self._rate_wait(ahead=len(self._queue)),
+            queued=self._queued(),
+            run_calls=self._context.run_calls.told(),
         )
 
+    def _queued(self) -> tuple[int, ...]:
+        """Return the number of queued attempts by rank, for views."""
+        if not len(self._queue):
+            return ()
+        counts = [0] * QUEUE_RANKS
+        for rank, count in self._queue.count_by_rank().items():
+            counts[0 if rank == _CALL_RANK else rank_index(rank)] += count
+        return tuple(counts)
+
     def start_hop(self, item: QueuedAttempt) -> Hop:
         """Start the trace span of an exchange with the target."""
         telemetry = self._context.telemetry
@@ -241,6 +253,7 @@
     def note_run(self, is_idempotent: bool) -> None:
         """Count an attempt that is sent to the target, for the retry budgets."""
         self._context.retry_budgets.note_run(is_idempotent)
+        self._context.run_calls.note_run()
 
     def note_head(self, seconds: float, is_error: bool) -> None:
         """Record the head of an answer from the target.
