Learn the calls of runs by route

On a service where only some routes make calls, the others were judged by the mean of all and could be rejected for a service that they don't need. AttemptOffered carries the route (@19), and a guard's daemon divides each call among the routes with running requests by the calls that each is estimated to make. Views report the mean and the four routes with the most runs (CallsTold.route @2).

Tests: tests/test_path_admission.py (27 passed), tests/test_call_priority.py (10 passed).

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -103,7 +103,7 @@
   calls @8 :List(CallsTold);
 }
 
-struct CallsTold { service @0 :Text; perRun @1 :Float64; }
+struct CallsTold { service @0 :Text; perRun @1 :Float64; route @2 :Text; }
 
 struct TargetViewTold {
   name @0 :Text;
@@ -229,6 +229,7 @@
   sentAt @16 :Float64;
   isForDue @17 :Bool;
   isCall @18 :Bool;
+  route @19 :Text;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/core/src/bramleyglade_core/decisions/path_admission.py
+++ b/packages/core/src/bramleyglade_core/decisions/path_admission.py
@@ -58,6 +58,8 @@
     """Number of more urgent priorities in use."""
     seconds_left: float
     """Time left until its latency objective or its deadline."""
+    route: str = ""
+    """Route of the request, as routes may differ in the calls that they make."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +113,8 @@
         shortage = self._own_shortage(work, own, now)
         if shortage is not None:
             return shortage
-        for callee, expected in self._calls.expected_calls(work.service).items():
+        calls = self._calls.expected_calls(work.service, work.route)
+        for callee, expected in calls.items():
             load = self._load_of(callee, now)
             if load is None or expected < _MIN_EXPECTED_CALLS:
                 continue
@@ -145,6 +148,8 @@
         now: float,
     ) -> Shortage | None:
         """Return whether a service on the path is short of capacity for calls."""
+        if load.free >= 1.0 + load.queued_calls:
+            return None
         horizon = min(_MAX_HORIZON_SECONDS, own.seconds / 2)
         growth = self._call_rate(callee, now) / load.throughput - 1.0
         wait = (load.queued_calls - load.free) / load.throughput + horizon * growth
--- a/packages/core/src/bramleyglade_core/decisions/run_calls.py
+++ b/packages/core/src/bramleyglade_core/decisions/run_calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.model.peer_messages import CallsTold
@@ -19,6 +19,15 @@
 _SMOOTHING_WEIGHT = 0.2
 """Weight of one daemon's report in the moving average of a service's calls."""
 
+_MAX_COUNTED_ROUTES = 16
+"""Routes whose runs are counted apart on one VM; others count for the mean only."""
+
+_MAX_TOLD_ROUTES = 4
+"""Routes with the most runs that a report covers, which bounds its size."""
+
+_MIN_ATTRIBUTION = 0.02
+"""Least calls per run that a route is assumed to make when a call is attributed."""
+
 _MAX_CALLS_PER_RUN = 20.0
 """Reported calls per run above which a report is ignored as implausible."""
 
@@ -28,33 +37,96 @@
 
     Unlike the retry budget's estimate, which assumes the worst case for retries, this
     is the mean over all runs: admission must not overstate what a request needs.
+
+    A call doesn't tell which run made it. If several routes have running requests, it
+    is divided among them by the calls that each is estimated to make. The estimates
+    converge, as in expectation maximization, because the mix of running routes varies.
     """
 
     def __init__(self) -> None:
         self._runs = 0.0
         self._calls_by_service: dict[str, float] = {}
-        self._per_run_by_callee_by_service: dict[str, dict[str, float]] = {}
+        self._runs_by_route: dict[str, float] = {}
+        self._calls_by_route: dict[tuple[str, str], float] = {}
+        """Calls by route and service called."""
+        self._running_by_route: Counter[str] = Counter()
+        self._per_run_by_callee_by_caller: dict[tuple[str, str], dict[str, float]] = {}
+        """Learned means by service called, by the service and route of the runs."""
         self._callers_by_callee: dict[str, set[str]] = {}
 
-    def note_run(self) -> None:
-        """Count a run of a request at a target on this VM."""
+    def note_run(self, route: str) -> None:
+        """Count a run of a request that begins at a target on this VM.
+
+        Args:
+            route: Route of the request; empty if unknown.
+        """
         self._runs += 1
+        self._running_by_route[route] += 1
+        is_counted = route in self._runs_by_route
+        if route and (is_counted or len(self._runs_by_route) < _MAX_COUNTED_ROUTES):
+            self._runs_by_route[route] = self._runs_by_route.get(route, 0.0) + 1
         if self._runs > _MAX_COUNTED_RUNS:
-            self._runs /= 2
-            for service in self._calls_by_service:
-                self._calls_by_service[service] /= 2
+            self._halve()
+
+    def note_run_ended(self, route: str) -> None:
+        """Note that a counted run has ended."""
+        self._running_by_route[route] -= 1
+        if self._running_by_route[route] <= 0:
+            del self._running_by_route[route]
 
     def note_call(self, service: str) -> None:
         """Count a call that a target on this VM has sent during a run."""
         self._calls_by_service[service] = self._calls_by_service.get(service, 0.0) + 1
+        weight_by_route = {
+            route: running * max(_MIN_ATTRIBUTION, self._per_run(route, service))
+            for route, running in self._running_by_route.items()
+        }
+        total = sum(weight_by_route.values())
+        for route, weight in weight_by_route.items():
+            if route in self._runs_by_route:
+                key = (route, service)
+                part = weight / total
+                self._calls_by_route[key] = self._calls_by_route.get(key, 0.0) + part
+
+    def _per_run(self, route: str, service: str) -> float:
+        """Return the estimated calls of one run; about the mean for a new route."""
+        calls = self._calls_by_service.get(service, 0.0)
+        mean = calls / max(1.0, self._runs)
+        runs = self._runs_by_route.get(route, 0.0)
+        return (self._calls_by_route.get((route, service), 0.0) + mean) / (runs + 1)
+
+    def _halve(self) -> None:
+        self._runs /= 2
+        for counts in (self._calls_by_service, self._runs_by_route):
+            for name in counts:
+                counts[name] /= 2
+        for key in self._calls_by_route:
+            self._calls_by_route[key] /= 2
+        for route in [r for r, runs in self._runs_by_route.items() if runs < 1]:
+            del self._runs_by_route[route]
+            for key in [k for k in self._calls_by_route if k[0] == route]:
+                del self._calls_by_route[key]
 
     def told(self) -> tuple[CallsTold, ...]:
         """Return the mean calls per run on this VM, for other daemons."""
         if self._runs < _MIN_RUNS:
             return ()
-        return tuple(
+        means = [
             CallsTold(service, calls / self._runs)
             for service, calls in self._calls_by_service.items()
+        ]
+        if len(self._runs_by_route) < 2:
+            return tuple(means)
+        runs_by_route = self._runs_by_route
+        most_run = sorted(runs_by_route, key=runs_by_route.__getitem__, reverse=True)
+        return (
+            *means,
+            *(
+                CallsTold(service, self._per_run(route, service), route)
+                for route in most_run[:_MAX_TOLD_ROUTES]
+                if runs_by_route[route] >= _MIN_RUNS
+                for service in self._calls_by_service
+            ),
         )
 
     def learn(self, service: str, calls: Iterable[CallsTold]) -> None:
@@ -67,8 +139,8 @@
         for update in calls:
             if not 0.0 <= update.per_run <= _MAX_CALLS_PER_RUN:
                 continue
-            per_run_by_callee = self._per_run_by_callee_by_service.setdefault(
-                service, {}
+            per_run_by_callee = self._per_run_by_callee_by_caller.setdefault(
+                (service, update.route), {}
             )
             before = per_run_by_callee.get(update.service, update.per_run)
             per_run_by_callee[update.service] = before + _SMOOTHING_WEIGHT * (
@@ -76,9 +148,15 @@
             )
             self._callers_by_callee.setdefault(update.service, set()).add(service)
 
-    def per_run_by_callee(self, service: str) -> Mapping[str, float]:
-        """Return the mean calls that one run of a service makes, by service called."""
-        return self._per_run_by_callee_by_service.get(service, {})
+    def per_run_by_callee(self, service: str, route: str = "") -> Mapping[str, float]:
+        """Return the mean calls that one run of a service makes, by service called.
+
+        Args:
+            service: The service.
+            route: Route of the run; empty, or not known yet, for the mean of all.
+        """
+        means = self._per_run_by_callee_by_caller.get((service, ""), {})
+        return self._per_run_by_callee_by_caller.get((service, route), means)
 
     def callers(self, service: str) -> Iterable[str]:
         """Return the services whose runs call a service."""
@@ -87,19 +165,25 @@
     def is_on_path(self, service: str) -> bool:
         """Return whether runs of a service make calls, or calls lead to it."""
         return (
-            service in self._per_run_by_callee_by_service
-            or service in self._callers_by_callee
-        )
+            service,
+            "",
+        ) in self._per_run_by_callee_by_caller or service in self._callers_by_callee
+
+    def expected_calls(self, service: str, route: str = "") -> dict[str, float]:
+        """Return the expected calls of one run, with those of its calls, by service.
 
-    def expected_calls(self, service: str) -> dict[str, float]:
-        """Return the expected calls of one run, with those of its calls, by service."""
+        Args:
+            service: Service of the run.
+            route: Route of the run; the routes of its calls are not known.
+        """
         expected: dict[str, float] = {}
-        pending = [(service, 1.0, frozenset((service,)))]
+        pending = [(service, route, 1.0, frozenset((service,)))]
         while pending:
-            caller, runs, above = pending.pop()
-            for callee, per_run in self.per_run_by_callee(caller).items():
-                if callee in above or not math.isfinite(per_run):
+            caller, caller_route, runs, above = pending.pop()
+            calls = self.per_run_by_callee(caller, caller_route)
+            for callee, per_run in calls.items():
+                if callee in above:
                     continue
                 expected[callee] = expected.get(callee, 0.0) + runs * per_run
-                pending.append((callee, runs * per_run, above | {callee}))
+                pending.append((callee, "", runs * per_run, above | {callee}))
         return expected
--- a/packages/core/src/bramleyglade_core/model/exchange.py
+++ b/packages/core/src/bramleyglade_core/model/exchange.py
@@ -57,6 +57,8 @@
     """Time of sending by the front's clock, in seconds."""
     is_call: bool = False
     """Whether a target sent the request while it executed another one."""
+    route: str = ""
+    """Name of the request's route; empty if the front doesn't state it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -33,6 +33,8 @@
     """Service that is called."""
     per_run: float
     """Mean number of calls per run."""
+    route: str = ""
+    """Route of the runs; empty for the mean over all routes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -465,6 +465,7 @@
             objective_seconds=self._objective_left(),
             sent_at=self._context.clock(),
             is_call=request.is_call,
+            route=request.route.name,
         )
 
     def _objective_left(self) -> float | None:
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -220,7 +220,7 @@
             seconds_left = min(seconds_left, route.objective_seconds)
         priority = _priority(route, team)
         dispatcher = self._front.dispatcher
-        shortage = dispatcher.find_shortage(name, priority, seconds_left)
+        shortage = dispatcher.find_shortage(name, route.name, priority, seconds_left)
         if shortage is None:
             return
         self._context.telemetry.note_path_rejection(route.name, shortage.service)
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -84,7 +84,7 @@
         return self._routable.find(request.service, configuration)
 
     def find_shortage(
-        self, service: str, priority: int, seconds_left: float
+        self, service: str, route: str, priority: int, seconds_left: float
     ) -> Shortage | None:
         """Return why new work would find no capacity in time; None to admit it.
 
@@ -93,6 +93,7 @@
 
         Args:
             service: The service of the request.
+            route: Name of its route.
             priority: Priority of the request; 0 is the most urgent.
             seconds_left: Time left until its latency objective or its deadline.
         """
@@ -100,7 +101,7 @@
         if len(priorities) <= 1 and not self._context.run_calls.is_on_path(service):
             return None
         level = bisect_left(priorities, priority)
-        work = NewWork(service, priority, level, seconds_left)
+        work = NewWork(service, priority, level, seconds_left, route)
         return self._path_admission.find_shortage(work, self._context.clock())
 
     def expected_times(self, service: str) -> ExpectedTimes:
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -107,6 +107,8 @@
         self._is_wake_scheduled = False
         self._running: set[TargetWorker] = set()
         self._idle_workers: list[TargetWorker] = []
+        self._route_by_worker: dict[TargetWorker, str] = {}
+        """Routes of the attempts that were sent to the target and have not ended."""
         self._seconds_per_exchange: float | None = None
         self._overdue_level_by_worker: dict[TargetWorker, int] = {}
         """An exchange counts as overdue again beyond 2**level typical latencies."""
@@ -241,19 +243,27 @@
 
     def note_finished(self, worker: TargetWorker) -> None:
         """Free the slot of a worker."""
+        self._note_run_ended(worker)
         self._running.discard(worker)
         self._overdue_level_by_worker.pop(worker, None)
 
     def note_stopped(self, worker: TargetWorker) -> None:
         """Remove a worker whose task ends."""
+        self._note_run_ended(worker)
         self._running.discard(worker)
         if worker in self._idle_workers:
             self._idle_workers.remove(worker)
 
-    def note_run(self, is_idempotent: bool) -> None:
-        """Count an attempt that is sent to the target, for the retry budgets."""
-        self._context.retry_budgets.note_run(is_idempotent)
-        self._context.run_calls.note_run()
+    def note_run(self, worker: TargetWorker, offered: AttemptOffered) -> None:
+        """Count an attempt that is sent to the target, to learn its calls."""
+        self._context.retry_budgets.note_run(offered.is_idempotent)
+        self._route_by_worker[worker] = offered.route
+        self._context.run_calls.note_run(offered.route)
+
+    def _note_run_ended(self, worker: TargetWorker) -> None:
+        route = self._route_by_worker.pop(worker, None)
+        if route is not None:
+            self._context.run_calls.note_run_ended(route)
 
     def note_head(self, seconds: float, is_error: bool) -> None:
         """Record the head of an answer from the target.
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -180,7 +180,7 @@
             )
         if not self._runner.attempts.start(item.offered.attempt):
             raise AttemptError(ErrorCode.ATTEMPT_FENCED, "the attempt was fenced")
-        self._runner.note_run(item.offered.is_idempotent)
+        self._runner.note_run(self, item.offered)
 
     def _request_headers(self, item: QueuedAttempt) -> list[Header]:
         remaining_seconds = max(0.0, item.deadline - self._runner.clock())
--- a/tests/test_call_priority.py
+++ b/tests/test_call_priority.py
@@ -115,6 +115,9 @@
             await submit(offered, stream)
 
         daemon.guard.accept = note_offer
+        runner = daemon.guard.runner_by_name["target-0"]
+        while runner._limit() < 2:  # The call needs a slot beside its parent's.
+            await fleet.call(path="/songs/warm")
         await fleet.call(path="/open/before")
 
         async def call_once(step):
@@ -122,10 +125,15 @@
             await fleet.call(path="/open/during", key="")
 
         fleet.targets[0].on_step = call_once
-        await fleet.call(path="/songs/parent")
+        assert (await fleet.call(path="/songs/parent")).status == 200
         assert ("/open/before", False) in offers
         assert ("/songs/parent", False) in offers
         assert ("/open/during", True) in offers
+        calls = daemon.context.run_calls
+        await fleet.wait_until(lambda: not daemon.guard.busy)
+        assert not calls._running_by_route
+        assert calls._calls_by_service == {"catalogue": 1.0}
+        assert calls._runs_by_route["open"] == 2.0
 
     run_fleet(scenario, daemons=1, zones=1)
 
--- a/tests/test_path_admission.py
+++ b/tests/test_path_admission.py
@@ -376,6 +376,36 @@
     assert find_shortage(loads, work, [("a", "b", 0.7)]) is not None
 
 
+def test_free_slots_of_a_service_that_is_called_are_used():
+    """Calls that running requests might make must not keep slots empty."""
+    loads = {"a": load(running=100.0, free=1.0), "b": load(free=2.0)}
+    work = NewWork("a", 2, 2, 1.5)
+    assert find_shortage(loads, work, [("a", "b", 1.0)]) is None
+
+
+def test_calls_are_learned_by_route_though_runs_of_routes_overlap():
+    """Routes that make no calls were judged by the mean of all, and rejected."""
+    source = random.Random(1)
+    calls = RunCalls()
+    running = []
+    for _ in range(2000):
+        if len(running) == 4:
+            calls.note_run_ended(running.pop(0))
+        running.append(source.choice(["search", "search", "download"]))
+        calls.note_run(running[-1])
+        if source.choice(running) == "search" and source.random() < 0.7:
+            calls.note_call("ledger")
+    told = {(c.route, c.service): c.per_run for c in calls.told()}
+    assert 0.2 < told["", "ledger"] < 0.7
+    assert told["search", "ledger"] > 0.5
+    assert told["download", "ledger"] < 0.2
+    front = RunCalls()
+    front.learn("desk", calls.told())
+    assert front.expected_calls("desk", "download")["ledger"] < 0.2
+    assert front.expected_calls("desk", "search")["ledger"] > 0.5
+    assert front.expected_calls("desk", "new")["ledger"] == told["", "ledger"]
+
+
 def test_services_without_an_estimate_cause_no_rejections():
     """A front that has just started or is partitioned admits as before."""
     work = NewWork("a", 2, 2, 4.0)
@@ -463,7 +493,7 @@
 
 def test_views_and_loads_survive_the_link():
     """The new fields were lost if the schema and the messages differ."""
-    calls = (CallsTold("b", 0.5),)
+    calls = (CallsTold("b", 0.5), CallsTold("b", 0.7, "search"))
     view = TargetViewTold(
         "t", "s", 4, 6, False, False, queued=queue_counts(2), run_calls=calls
     )
