--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -88,7 +88,7 @@
   leaseSeconds @2 :Float64;
   freshSeconds @3 :Float64;
   views @4 :List(TargetViewTold);
-  reservedForPathAdmission @5 :Void;
+  loads @5 :List(ServiceLoadTold);
   zones @6 :ZonesTold;
 }
 
@@ -107,7 +107,19 @@
   loads @1 :List(ZoneLoadTold);
 }
 
-struct CallsTold { service @0 :Text; perRun @1 :Float64; }
+struct ServiceLoadTold {
+  service @0 :Text;
+  targets @1 :UInt32;
+  slots @2 :Float64;
+  free @3 :Float64;
+  running @4 :Float64;
+  throughput @5 :Float64;
+  seconds @6 :Float64;
+  queued @7 :List(UInt32);
+  calls @8 :List(CallsTold);
+}
+
+struct CallsTold { service @0 :Text; perRun @1 :Float64; route @2 :Text; }
 
 struct TargetViewTold {
   name @0 :Text;
@@ -122,6 +134,8 @@
   isDue @9 :Bool;
   isOverdue @10 :Bool;
   waitSeconds @11 :Float64;
+  queued @12 :List(UInt32);
+  runCalls @13 :List(CallsTold);
 }
 
 struct BatchAsked { after @0 :UInt64; }
@@ -231,6 +245,7 @@
   sentAt @16 :Float64;
   isForDue @17 :Bool;
   isCall @18 :Bool;
+  route @19 :Text;
 }
 
 struct OutcomeAsked { offered @0 :AttemptOffered; }
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -179,6 +179,7 @@
         self._peers.mark_seen(name)
         self._note_zones(name, answer, self._context.clock() - sent_at)
         self._context.update_views(name, answer.views)
+        self._context.loads.learn(name, answer.loads, self._context.clock())
         await self._shared.apply_heartbeat_answer(link, answer, sent_at)
         return answer.members_digest != self._context.directory.digest
 
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.decisions.directory import RoutableTargets
+from bramleyglade_core.decisions.path_admission import NewWork, PathAdmission
 from bramleyglade_core.decisions.regions import allowed_regions, intersection
 from bramleyglade_core.decisions.stop_schedule import ExpectedTimes
 from bramleyglade_daemon.front.attempts import Attempts
@@ -12,6 +14,7 @@
 if TYPE_CHECKING:
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.directory import Candidate
+    from bramleyglade_core.decisions.path_admission import Shortage
     from bramleyglade_core.model.verdict import Verdict
     from bramleyglade_core.ports.streams import AttemptPort
     from bramleyglade_daemon.fleet.context import Context
@@ -38,6 +41,9 @@
         self.opener = opener
         """Opens links to the guards that requests are going to need."""
         self._routable = RoutableTargets(context.directory, context.settings)
+        self._path_admission = PathAdmission(
+            context.loads.load, context.run_calls, context.random
+        )
         self._last_request = 0
 
     def start(
@@ -55,6 +61,8 @@
         now = self._context.clock()
         budgets.note_first_attempt(request.service.name, now)
         self._context.zone_loads.note_arrival(request.service.name, now)
+        if request.is_call:
+            self._context.run_calls.note_call(request.service.name)
         if not request.team:
             budgets.note_call(request.service.name)
         return Attempts(self, request, feeder, hop, log, self._last_request)
@@ -92,6 +100,27 @@
         regions = intersection(request.regions, in_force)
         return self._routable.find(request.service, configuration, regions)
 
+    def find_shortage(
+        self, service: str, route: str, priority: int, seconds_left: float
+    ) -> Shortage | None:
+        """Return why new work would find no capacity in time; None to admit it.
+
+        This is decided only where it matters: if calls are made by the service's runs
+        or lead to it, or if there are several priorities.
+
+        Args:
+            service: The service of the request.
+            route: Name of its route.
+            priority: Priority of the request; 0 is the most urgent.
+            seconds_left: Time left until its latency objective or its deadline.
+        """
+        priorities = self._context.configuration.priorities
+        if len(priorities) <= 1 and not self._context.run_calls.is_on_path(service):
+            return None
+        level = bisect_left(priorities, priority)
+        work = NewWork(service, priority, level, seconds_left, route)
+        return self._path_admission.find_shortage(work, self._context.clock())
+
     def expected_times(self, service: str) -> ExpectedTimes:
         """Return how long an answer of a service is expected to take now."""
         self.refresh_local_views()
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -17,6 +17,7 @@
 from bramleyglade_core.decisions.objective_queue import ObjectiveQueue
 from bramleyglade_core.decisions.ramp import ConcurrencyRamp
 from bramleyglade_core.decisions.request_rate import RequestRateLimiter
+from bramleyglade_core.decisions.service_loads import QUEUE_RANKS, rank_index
 from bramleyglade_core.model.errors import AttemptError, ErrorCode, FleetError
 from bramleyglade_core.model.peer_messages import TargetViewTold
 from bramleyglade_core.model.verdict import Verdict
@@ -106,6 +107,8 @@
         self._is_wake_scheduled = False
         self._running: set[TargetWorker] = set()
         self._idle_workers: list[TargetWorker] = []
+        self._route_by_worker: dict[TargetWorker, str] = {}
+        """Routes of the attempts that were sent to the target and have not ended."""
         self._seconds_per_exchange: float | None = None
         self._overdue_level_by_worker: dict[TargetWorker, int] = {}
         """An exchange counts as overdue again beyond 2**level typical latencies."""
@@ -150,8 +153,19 @@
             is_due=due is not _Due.NO,
             is_overdue=due is _Due.FOR_ANY,
             wait_seconds=self._rate_wait(ahead=len(self._queue)),
+            queued=self._queued(),
+            run_calls=self._context.run_calls.told(),
         )
 
+    def _queued(self) -> tuple[int, ...]:
+        """Return the number of queued attempts by rank, for views."""
+        if not len(self._queue):
+            return ()
+        counts = [0] * QUEUE_RANKS
+        for rank, count in self._queue.count_by_rank().items():
+            counts[0 if rank == _CALL_RANK else rank_index(rank)] += count
+        return tuple(counts)
+
     def start_hop(self, item: QueuedAttempt) -> Hop:
         """Start the trace span of an exchange with the target."""
         telemetry = self._context.telemetry
@@ -229,18 +243,27 @@
 
     def note_finished(self, worker: TargetWorker) -> None:
         """Free the slot of a worker."""
+        self._note_run_ended(worker)
         self._running.discard(worker)
         self._overdue_level_by_worker.pop(worker, None)
 
     def note_stopped(self, worker: TargetWorker) -> None:
         """Remove a worker whose task ends."""
+        self._note_run_ended(worker)
         self._running.discard(worker)
         if worker in self._idle_workers:
             self._idle_workers.remove(worker)
 
-    def note_run(self, is_idempotent: bool) -> None:
-        """Count an attempt that is sent to the target, for the retry budgets."""
-        self._context.retry_budgets.note_run(is_idempotent)
+    def note_run(self, worker: TargetWorker, offered: AttemptOffered) -> None:
+        """Count an attempt that is sent to the target, to learn its calls."""
+        self._context.retry_budgets.note_run(offered.is_idempotent)
+        self._route_by_worker[worker] = offered.route
+        self._context.run_calls.note_run(offered.route)
+
+    def _note_run_ended(self, worker: TargetWorker) -> None:
+        route = self._route_by_worker.pop(worker, None)
+        if route is not None:
+            self._context.run_calls.note_run_ended(route)
 
     def note_head(self, seconds: float, is_error: bool) -> None:
         """Record the head of an answer from the target.
