Find the retries that other fronts leave unused

A front without retries asked three of its seven neighbours, and each kept one retry for itself. A front that has needed no retry in the window lends all of them.

--- a/packages/core/src/bramleyglade_core/decisions/retry_budget.py
+++ b/packages/core/src/bramleyglade_core/decisions/retry_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -38,7 +39,8 @@
 """Time within which retries lent by another daemon must be spent."""
 
 _KEPT_RETRIES = 1.0
-"""Retries that a daemon keeps for itself when it lends some."""
+"""Retries that a daemon keeps for itself when it lends some, if it has spent any in the
+window. One that has needed none would keep them unused, and may borrow itself."""
 
 
 class SlidingWindowCounter:
@@ -90,6 +92,8 @@
         self._retries = SlidingWindowCounter(settings.retry_window_seconds)
         self._loans: deque[tuple[float, float]] = deque()
         """Loans of other daemons: until when each holds, and the retries left of it."""
+        self._spent_at = -math.inf
+        """When this front last spent a retry of its own requests, in seconds."""
 
     def set_fleet_size(self, daemons: int) -> None:
         """Set the floor to this daemon's part of the fleet-wide floor.
@@ -134,7 +138,9 @@
         Returns:
             How many it may spend within `_LOAN_SECONDS`; possibly 0.
         """
-        lent = min(wanted, self._own_available(now) - _KEPT_RETRIES)
+        has_spent = now - self._spent_at < self._settings.retry_window_seconds
+        kept = _KEPT_RETRIES if has_spent else 0.0
+        lent = min(wanted, self._own_available(now) - kept)
         if lent <= 0:
             return 0.0
         # Counted from the latest time at which the other daemon may spend them, so
@@ -169,6 +175,7 @@
 
     def spend(self, retries: float, now: float) -> None:
         """Count retries as spent, those that were lent first."""
+        self._spent_at = now
         self._loaned(now)
         while self._loans and retries > 0:
             expires_at, left = self._loans.popleft()
--- a/packages/daemon/src/bramleyglade_daemon/front/retry_loans.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/retry_loans.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import logging
-import math
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.decisions.retry_lenders import RetryLenders
 from bramleyglade_core.model.errors import FleetError
 from bramleyglade_core.model.peer_messages import RetriesAsked, RetriesLent
 from bramleyglade_core.model.verdict import Verdict
@@ -16,14 +16,11 @@
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.peers import Peers
 
-_MAX_LENDERS = 3
-"""Peers that are asked for one retry."""
-
 _ANSWER_TIMEOUT_SECONDS = 0.05
-"""Timeout of the answer, for which a caller waits."""
+"""Timeout of one answer, for which a caller waits."""
 
-_REFUSED_SECONDS = 0.25
-"""Time after which peers are asked again once none has lent, as in a brown-out."""
+_MAX_WAIT_SECONDS = 0.15
+"""Longest wait of a caller for all answers; the last peer is asked before that."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -38,7 +35,7 @@
     def __init__(self, context: Context, peers: Peers) -> None:
         self._context = context
         self._peers = peers
-        self._refused_until_by_service: dict[str, float] = {}
+        self._lenders = RetryLenders(context.random)
 
     async def try_spend(self, service: str, verdict: Verdict) -> bool:
         """Spend one retry at a service.
@@ -54,21 +51,33 @@
         may_have_run = verdict is not Verdict.NOT_RUN
         if budgets.try_spend(service, may_have_run, self._context.clock()):
             return True
-        now = self._context.clock()
-        if now < self._refused_until_by_service.get(service, -math.inf):
-            return False
-        links = self._peers.neighbour_links()
-        count = min(_MAX_LENDERS, len(links))
-        for link in self._context.random.sample(links, count):
-            await self._borrow(link, service, may_have_run)
+        asked_at = self._context.clock()
+        link_by_name = self._lending_links()
+        chosen = self._lenders.choose(service, list(link_by_name), asked_at)
+        asked = 0
+        for name in chosen:
+            if self._context.clock() - asked_at >= _MAX_WAIT_SECONDS:
+                break
+            asked += 1
+            if not await self._borrow(link_by_name[name], service, may_have_run):
+                self._lenders.note_empty(service, name, self._context.clock())
             if budgets.try_spend(service, may_have_run, self._context.clock()):
+                self._lenders.note_granted(service)
                 return True
-        self._refused_until_by_service[service] = now + _REFUSED_SECONDS
-        _LOG.info("RetryRefused", extra={"service": service, "lenders": count})
+        if asked:
+            self._lenders.note_refused(service, self._context.clock())
+        extra = {"service": service, "lenders": asked, "peers": len(link_by_name)}
+        _LOG.info("RetryRefused", extra=extra)
         return False
 
-    async def _borrow(self, link: Link, service: str, may_have_run: bool) -> None:
-        """Ask a peer to lend what one retry needs."""
+    def _lending_links(self) -> dict[str, Link]:
+        """Return the links to peers that may lend, those of the own region if any."""
+        links = self._peers.open_links()
+        near = [link for link in links if not self._peers.is_far(link)]
+        return {link.peer_name: link for link in near or links}
+
+    async def _borrow(self, link: Link, service: str, may_have_run: bool) -> bool:
+        """Ask a peer to lend what one retry needs; return whether it has lent that."""
         budgets = self._context.retry_budgets
         asked_at = self._context.clock()
         missing = budgets.missing(service, may_have_run, asked_at)
@@ -77,8 +86,12 @@
                 answer = await link.call(
                     RetriesAsked(name, retries), _ANSWER_TIMEOUT_SECONDS
                 )
-                budgets.add_loan(name, expect(answer, RetriesLent).retries, asked_at)
+                lent = expect(answer, RetriesLent).retries
+                budgets.add_loan(name, lent, asked_at)
             except FleetError as error:
                 extra = {"peer": link.peer_name, "why": error.detail}
                 _LOG.info("LoanUnanswered", extra=extra)
-                return
+                return False
+            if lent < retries:
+                return False
+        return True
