Reset, not close, an answer without a length whose end is not sent

Only the close of the connection ends an answer to HTTP/1.0 that names no length. A daemon that ended in the middle of one closed the socket, so that the caller took the part for the whole. The socket is reset on close from the head of such an answer until its end is sent.

test_answer_without_a_length_is_reset_if_its_end_is_not_sent[False] failed before: the caller found a clean end.

--- a/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/server_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -78,6 +80,9 @@
         self._is_broken = False
         self._is_head_request = False
         self._has_answer_body = True
+        self._is_ended_by_close = False
+        """Whether a caller takes the close of the connection for the answer's end."""
+        self._has_ended = False
         self._may_have_trailers = True
         self._turns = FairTurns()
         self._body = bytearray()
@@ -229,6 +234,11 @@
         has_length = any(name == b"content-length" for name, _ in wire)
         is_chunked = not has_length and self._protocol.their_http_version != b"1.0"
         self._may_have_trailers = self._has_answer_body and is_chunked
+        self._is_ended_by_close = (
+            self._has_answer_body and not has_length and not is_chunked
+        )
+        if self._is_ended_by_close:
+            self._set_reset_on_close(True)
         if 100 <= status < 200:
             self._write(h11.InformationalResponse(status_code=status, headers=wire))
         else:
@@ -246,6 +256,7 @@
         """Buffer the end of the answer; only one in chunks can have trailers."""
         kept = trailers if self._may_have_trailers else ()
         self._write(h11.EndOfMessage(headers=headers_to_wire(kept)))
+        self._has_ended = True
 
     @property
     def must_flush(self) -> bool:
@@ -254,13 +265,22 @@
 
     async def flush(self) -> None:
         """Send the whole buffer in one write."""
-        if not self._buffer:
-            return
-        await self.wait_turn()
-        data, self._buffer = self._buffer, bytearray()
-        self._is_broken = True  # A cancelled write may have been sent only in part.
-        await self.sock.sendall(data)
-        self._is_broken = False
+        if self._buffer:
+            await self.wait_turn()
+            data, self._buffer = self._buffer, bytearray()
+            self._is_broken = True  # A cancelled write may have been sent only in part.
+            await self.sock.sendall(data)
+            self._is_broken = False
+        if self._has_ended and self._is_ended_by_close:
+            self._set_reset_on_close(False)
+
+    def _set_reset_on_close(self, is_reset: bool) -> None:
+        """Choose how the kernel closes the socket, also if this process ends.
+
+        A reset keeps a part of an answer from being taken for the whole.
+        """
+        linger = struct.pack("ii", is_reset, 0)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def _write(self, event: h11.Event) -> None:
         try:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bramleyglade_adapters.http.client_connection import AnswerBroken, ClientConnection
+from bramleyglade_adapters.http.server_connection import ServerConnection
 from bramleyglade_adapters.http.simple_client import AnswerLost, SimpleClient
 from bramleyglade_core.model.exchange import (
     AnswerContinued,
@@ -206,3 +207,35 @@
         await resetting.join()
 
     run(scenario, WITHOUT_LENGTH + PART)
+
+
+@pytest.mark.parametrize("is_ended", [False, True])
+def test_answer_without_a_length_is_reset_if_its_end_is_not_sent(is_ended):
+    """A daemon that ends in the middle closes its sockets, which looks like the end."""
+
+    async def serve(sock, _):
+        connection = ServerConnection(sock)
+        await connection.receive_request()
+        connection.start_answer(200, [])
+        connection.continue_answer(PART)
+        await connection.flush()
+        if is_ended:
+            connection.end_answer()
+            await connection.flush()
+        await sock.close()
+
+    async def main():
+        address = free_address()
+        listener = curio.tcp_server_socket(address.host, address.port)
+        await curio.spawn(curio.network.run_server, listener, serve, daemon=True)
+        async with await curio.open_connection(address.host, address.port) as sock:
+            await sock.sendall(b"GET / HTTP/1.0\r\n\r\n")
+            received = bytearray()
+            try:
+                while data := await sock.recv(100):
+                    received += data
+            except ConnectionResetError:
+                return False
+            return received.endswith(PART)
+
+    assert curio.run(main) is is_ended
