Fuzzer: resets in both directions and statuses without a meaning

Targets send answers without a length and close or reset in the middle of the upload, callers reset in the middle of their last request, and statuses include 0, 99, 600 and 999. A body of 6 MB does not fit into the buffers on the way. A 200 must have its whole body: before, only a body that began with the whole expected text was compared.

--- a/benchmarks/exchange_fuzzer/conversations.py
+++ b/benchmarks/exchange_fuzzer/conversations.py
@@ -89,7 +89,23 @@
     share: float
 
 
-Script = Answered | Rejected | AnsweredEarly | Cut
+@dataclass(frozen=True, slots=True)
+class Unframed:
+    """An answer without a length, which only the end of the connection ends.
+
+    Its reader can't tell a part of it from the whole if the connection is closed, so
+    that only one that is reset is sent in part.
+    """
+
+    body_share: float
+    """Share of the request's body that is read before."""
+    reset_share: float | None
+    """Share of the answer that is sent before a reset; None to send all and close."""
+    pause_seconds: float = 0.0
+    """Time between what is sent of the answer and the reset."""
+
+
+Script = Answered | Rejected | AnsweredEarly | Cut | Unframed
 
 
 class Loans(Enum):
@@ -111,13 +127,19 @@
     is_http_1_0: bool = False
     is_split_after_head: bool = False
     """Whether a caller pauses between the head and the body of each request."""
+    reset_share: float | None = None
+    """Share of the last request after which its caller resets; None if it doesn't."""
 
 
 _SHARES = st.sampled_from([0.0, 0.05, 0.3, 0.55, 0.9, 1.0])
 _PAUSES = st.sampled_from([0.0, 0.003, 0.05, MOST_PAUSE_SECONDS])
 _BODY_BYTES = st.sampled_from(
-    [0, 1, 10, 9_000, 70_000, 200_000, 262_144, 300_000, 330_000, 360_000, 500_000]
+    [
+        *(0, 1, 10, 9_000, 70_000, 200_000, 262_144, 300_000, 330_000, 360_000),
+        *(500_000, 6_000_000),
+    ]
 )
+"""The largest does not fit into the buffers on the way to a target."""
 _REJECTED_SHARES = st.sampled_from([0.0, 0.3, 0.55, 0.6, 0.65, 0.7, 0.8, 1.0])
 """Dense where an upload is about to pass the limit of what is kept for a retry."""
 _CHUNK_BYTES = st.sampled_from([7_000, 50_000, 65_280, 400_000])
@@ -161,7 +183,7 @@
 _SCRIPTS = st.one_of(
     st.builds(
         Answered,
-        status=st.sampled_from([200, 200, 200, 204, 304, 404, 500]),
+        status=st.sampled_from([200, 200, 200, 204, 304, 404, 500, 0, 99, 600, 999]),
         is_chunked=st.booleans(),
         has_trailers=st.booleans(),
         names_length_too=st.booleans(),
@@ -171,6 +193,7 @@
     st.builds(Rejected, _REJECTED_SHARES),
     st.builds(AnsweredEarly, _SHARES),
     st.builds(Cut, _SHARES),
+    st.builds(Unframed, _SHARES, st.one_of(st.none(), _SHARES), _PAUSES),
 )
 
 CONVERSATIONS = st.builds(
@@ -180,4 +203,5 @@
     loans=st.sampled_from(Loans),
     is_http_1_0=st.sampled_from([False, False, False, True]),
     is_split_after_head=st.booleans(),
+    reset_share=st.one_of(st.none(), st.none(), _SHARES),
 )
--- a/benchmarks/exchange_fuzzer/player.py
+++ b/benchmarks/exchange_fuzzer/player.py
@@ -4,6 +4,7 @@
 
 import itertools
 import logging
+import socket
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -19,7 +20,11 @@
     Framing,
     Loans,
 )
-from benchmarks.exchange_fuzzer.scripted_target import ANSWER_BODY, ScriptedTarget
+from benchmarks.exchange_fuzzer.scripted_target import (
+    ANSWER_BODY,
+    RESET_ON_CLOSE,
+    ScriptedTarget,
+)
 from bramleyglade_adapters.http.wire import RECEIVE_BYTES
 from bramleyglade_standins.local_fleet import free_address
 
@@ -187,7 +192,8 @@
             arrivals = arrivals_by_id.get(ids[number], [])
             _check_arrivals(request, request.body(number), arrivals)
             if number < len(caller.received):
-                _check_answer(ids[number], caller.received[number], arrivals)
+                received = caller.received[number]
+                _check_answer(request, ids[number], received, arrivals)
         _check_end(conversation, caller)
 
     def _count(self, conversation: Conversation) -> None:
@@ -217,7 +223,14 @@
             raise Broken(f"{len(arrival.body)} of {len(body)} bytes ran as the whole")
 
 
-def _check_answer(request_id: str, received: Received, arrivals: list[Arrival]) -> None:
+def _check_answer(
+    request: CallerRequest,
+    request_id: str,
+    received: Received,
+    arrivals: list[Arrival],
+) -> None:
+    if received.status is not None and not 100 <= received.status <= 599:
+        raise Broken(f"{received.status} is not a status")
     has_run = any(arrival.has_run for arrival in arrivals)
     if received.status in _PROMISES_NOT_RUN and has_run:
         raise Broken(f"{received.status} for a request that ran")
@@ -228,10 +241,15 @@
         raise Broken(f"the body {received.body!r} came for {request_id}")
     if received.status == 200 and not has_run:
         raise Broken("200 for a request that did not run")
+    is_whole = is_targets or request.method == "HEAD"
+    if received.status == 200 and not is_whole:
+        raise Broken(f"the body {received.body!r} came as a whole one")
 
 
 def _check_end(conversation: Conversation, caller: _Caller) -> None:
     """Check that all requests are answered up to one whose answer closes."""
+    if conversation.reset_share is not None:
+        return
     for received in caller.received:
         if received.is_last:
             return
@@ -255,10 +273,23 @@
         sock = await curio.open_connection(address.host, address.port)
         async with sock:
             sending = await curio.spawn(self._send_all, sock)
+            receiving = await curio.spawn(self._receive_all, sock)
+            resetting = await curio.spawn(self._stop_behind, sending, receiving)
             try:
-                await self._receive_all(sock)
+                await receiving.wait()
+                if not receiving.cancelled:
+                    await receiving.join()
+                    return
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             finally:
-                await sending.cancel()
+                for task in (resetting, sending, receiving):
+                    await task.cancel()
+
+    async def _stop_behind(self, sending: curio.Task, receiving: curio.Task) -> None:
+        """Read no more once a request is sent as far as its caller's reset."""
+        if self._conversation.reset_share is not None:
+            await sending.wait()
+            await receiving.cancel()
 
     async def _send_all(self, sock: Any) -> None:
         try:
@@ -283,6 +314,10 @@
             data = rest
             starts = [0, *(int(cut * len(data)) for cut in request.cuts)]
         ends = [*starts[1:], len(data)]
+        reset_share = self._conversation.reset_share
+        if reset_share is not None and number == len(self._ids) - 1:
+            most = int(reset_share * len(data))
+            starts, ends = ([min(x, most) for x in places] for places in (starts, ends))
         for start, end, pause in zip(starts, ends, [*request.pauses, 0.0], strict=True):
             if start != end:
                 await sock.sendall(data[start:end])
--- a/benchmarks/exchange_fuzzer/scripted_target.py
+++ b/benchmarks/exchange_fuzzer/scripted_target.py
@@ -16,6 +16,7 @@
     Cut,
     Rejected,
     Script,
+    Unframed,
 )
 from bramleyglade_adapters.http.server_connection import (
     RequestHead,
@@ -29,7 +30,7 @@
     from curio.io import Socket
 
 ANSWER_BODY = b"the answer to "
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,7 +109,10 @@
         """Return the bytes of an answer."""
         body = ANSWER_BODY + self.request_id.encode()
         has_body = self.head.method != "HEAD" and script.status not in (204, 304)
-        lines = [f"HTTP/1.1 {script.status} Answer", f"Attempt-Id: {self.request_id}"]
+        lines = [
+            f"HTTP/1.1 {script.status:03} Answer",
+            f"Attempt-Id: {self.request_id}",
+        ]
         lines.append("Server-Seal: s")
         if script.status != 204 and (not script.is_chunked or script.names_length_too):
             overridden = 2 if script.is_chunked else 0
@@ -168,5 +172,21 @@
     data = exchange.answer(Answered())
     await exchange.sock.sendall(data[: int(script.share * (len(data) - 1))])
     if script.share > 0.5:
-        exchange.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        exchange.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return False
+
+
+@_respond.register
+async def _(script: Unframed, exchange: _Exchange) -> bool:
+    await exchange.read(script.body_share)
+    exchange.note(has_run=True)
+    head, _, body = exchange.answer(Answered()).partition(b"\r\n\r\n")
+    lines = [line for line in head.split(b"\r\n") if b"Content-Length" not in line]
+    data = b"\r\n".join([*lines, b"", body])
+    if script.reset_share is None:
+        await exchange.sock.sendall(data)
+        return False
+    await exchange.sock.sendall(data[: int(script.reset_share * (len(data) - 1))])
+    await curio.sleep(script.pause_seconds)
+    exchange.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     return False
--- /dev/null
+++ b/benchmarks/reset_uploads/__init__.py
@@ -0,0 +1,1 @@
+"""Uploads whose targets answer early without a length, and then reset."""
--- a/tests/test_exchange_fuzzer.py
+++ b/tests/test_exchange_fuzzer.py
@@ -12,6 +12,7 @@
     Framing,
     Loans,
     Rejected,
+    Unframed,
 )
 from benchmarks.exchange_fuzzer.harness import Harness
 
@@ -78,6 +79,16 @@
         request(method="GET", prefix=SAFE_PREFIX, framing=Framing.NONE),
         scripts=(Answered(is_chunked=True, names_length_too=True, status=200),),
     ),
+    # The caller got a status that has no meaning.
+    "status 600": conversation(
+        request(method="GET", prefix=SAFE_PREFIX, framing=Framing.NONE),
+        scripts=(Answered(status=600),) * 3,
+    ),
+    # The caller got a part of the answer as the whole, in five of eight plays.
+    "upload answered early without a length, then reset": conversation(
+        request(framing=Framing.LENGTH, body_bytes=6_000_000),
+        scripts=(Unframed(0.05, 0.9, 0.003),),
+    ),
     # The close of the connection was not announced.
     "refusal before the body": conversation(
         request(prefix="/none/", body_bytes=9_000), request(body_bytes=10)
