--- a/benchmarks/reset_uploads/__main__.py
+++ b/benchmarks/reset_uploads/__main__.py
@@ -47,6 +47,11 @@
 class ResettingFleet(ProcessFleet):
     """A fleet whose targets reset uploads."""
 
+    def __init__(self, plan: FleetPlan, seed: int) -> None:
+        """Create a fleet whose targets draw from a seed."""
+        super().__init__(plan)
+        self._seed = seed
+
     def start_target(self, index: int, service: int) -> None:
         """Start one target."""
         self.start_module(
@@ -56,7 +61,7 @@
             address=str(self.target_address(index, service)),
             guard=str(self.announce_address(index)),
             slots=str(self.plan.slots),
-            seed=str(index),
+            seed=str(_DAEMONS * self._seed + index),
         )
 
 
@@ -65,7 +70,7 @@
 
     Args:
         uploads: How many to send.
-        seed: First number of the request IDs.
+        seed: Seed of the targets.
         first_port: First of the fleet's ports.
     """
     outcomes = curio.run(_measure, uploads, seed, first_port)
@@ -75,7 +80,7 @@
 
 async def _measure(uploads: int, seed: int, first_port: int) -> Counter[str]:
     plan = FleetPlan(_DAEMONS, 1, ("catalogue",), first_port, 4, _DAEMON_SETTINGS)
-    fleet = ResettingFleet(plan)
+    fleet = ResettingFleet(plan, seed)
     outcomes: Counter[str] = Counter()
     numbers = iter(range(uploads))
     store = HttpStore(fleet.store)
