Test a reset of a request that was acknowledged whole

Without the kernel's state of the connection, the test passed before, as the body was not acknowledged yet; it fails without that check now.

--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -116,6 +116,10 @@
         if is_whole:
             await connection.send_body(b"1")
             await connection.end_body()
+            await server.sock.recv(1)
+            # This acknowledges the body, so that only the reset shows the cut.
+            await server.sock.sendall(PART)
+            assert await connection.receive() == AnswerContinued(PART)
         await server.reset()
         taken = connection._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         assert taken
