Carry the era of the store with its answers, and decide what a rise changes

Stand-in stores can be restored from a copy: writes after it are lost, revisions are given out again, a watch from a revision that the store lacks gets 410. The decision store_era and the shared view compare (era, revision); daemons don't use it yet.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -80,7 +80,12 @@
 }
 
 struct HelloSaid { version @0 :UInt32; daemon @1 :DaemonId; record @2 :MemberRecord; }
-struct HeartbeatSent { revision @0 :UInt64; membersDigest @1 :UInt64; }
+struct HeartbeatSent {
+  revision @0 :UInt64;
+  membersDigest @1 :UInt64;
+  reserved2 @2 :Void;
+  era @3 :UInt32;
+}
 
 struct HeartbeatAnswered {
   revision @0 :UInt64;
@@ -88,6 +93,10 @@
   leaseSeconds @2 :Float64;
   freshSeconds @3 :Float64;
   views @4 :List(TargetViewTold);
+  reserved5 @5 :Void;
+  reserved6 @6 :Void;
+  reserved7 @7 :Void;
+  era @8 :UInt32;
 }
 
 struct CallsTold { service @0 :Text; perRun @1 :Float64; }
@@ -115,6 +124,7 @@
   states @2 :Data;
   assignments @3 :Data;
   wholeTicket @4 :UInt64;
+  era @5 :UInt32;
 }
 
 struct RecordsAsked { digests @0 :List(UInt64); }  # Empty for all records.
--- a/packages/adapters/src/bramleyglade_adapters/store/http_store.py
+++ b/packages/adapters/src/bramleyglade_adapters/store/http_store.py
@@ -3,7 +3,8 @@
 It is kept thin because a platform's actual protocol may differ. The calls are
 `GET /v1/objects/KEY`, `PUT` with `if-none-match: *` or `if-match: REVISION`,
 `GET /v1/list?prefix=&after=` and `GET /v1/watch?prefix=&after=&wait_ms=`.
-Values are encoded in base64; every answer contains the store's revision.
+Values are encoded in base64; every answer contains the store's revision, and the era
+if the store has eras.
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
 from bramleyglade_core.model.errors import (
     ErrorCode,
     StoreAnswerLost,
+    StoreRestored,
     StoreUnavailable,
     VersionConflict,
 )
@@ -41,6 +43,7 @@
 """Time that a watch may take beyond its wait before it times out."""
 _OK = 200
 _NOT_FOUND = 404
+_GONE = 410
 _PRECONDITION_FAILED = 412
 
 
@@ -58,13 +61,16 @@
             return None
         return _to_stored_object(json_body(answer))
 
-    async def create(self, key: str, value: bytes) -> int:
+    async def create(self, key: str, value: bytes, era: int | None = None) -> int:
         """Create an object and return its revision."""
-        return await self._write(key, value, Header("if-none-match", "*"))
+        return await self._write(key, value, Header("if-none-match", "*"), era)
 
-    async def update(self, key: str, value: bytes, revision: int) -> int:
+    async def update(
+        self, key: str, value: bytes, revision: int, era: int | None = None
+    ) -> int:
         """Replace an object if its revision is unchanged; return the new revision."""
-        return await self._write(key, value, Header("if-match", str(revision)))
+        condition = Header("if-match", str(revision))
+        return await self._write(key, value, condition, era)
 
     async def list_changed(self, prefix: str, after: int) -> Listing:
         """List the objects under a prefix that changed after a revision."""
@@ -103,11 +109,17 @@
             )
         except (RequestNotSent, AnswerLost) as error:
             raise StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, str(error)) from None
+        if answer.status == _GONE:
+            raise StoreRestored(
+                _era(json_body(answer)), "the store has no such revision"
+            )
         if answer.status not in (_OK, _NOT_FOUND):
             raise status_error(answer)
         return answer
 
-    async def _write(self, key: str, value: bytes, condition: Header) -> int:
+    async def _write(
+        self, key: str, value: bytes, condition: Header, era: int | None
+    ) -> int:
         body = json.dumps({"value": base64.b64encode(value).decode()}).encode()
         try:
             answer = await self._client.request(
@@ -125,17 +137,21 @@
             raise VersionConflict(ErrorCode.VERSION_CONFLICT, f"{key} has changed")
         if answer.status != _OK:
             raise status_error(answer)
-        return _revision(json_body(answer))
+        fields = json_body(answer)
+        if era is not None and _era(fields) != era:
+            raise StoreRestored(_era(fields), f"{key} was read in era {era}")
+        return _revision(fields)
 
 
-def _to_stored_object(fields: Any) -> StoredObject:
+def _to_stored_object(fields: Any, era: int | None = None) -> StoredObject:
     try:
         key, value = fields["key"], base64.b64decode(fields["value"])
     except (TypeError, KeyError, ValueError) as error:
         raise _malformed(f"an object without key or value: {error!r}") from None
     if not isinstance(key, str):
         raise _malformed("an object's key is not a string")
-    return StoredObject(key, value, _revision(fields))
+    era = _era(fields) if era is None else era
+    return StoredObject(key, value, _revision(fields), era)
 
 
 def _revision(fields: dict[str, Any]) -> int:
@@ -145,6 +161,13 @@
     return revision
 
 
+def _era(fields: dict[str, Any]) -> int:
+    era = fields.get("era", 0)
+    if type(era) is not int or era < 0:
+        raise _malformed("an answer with a malformed era")
+    return era
+
+
 def _malformed(detail: str) -> StoreUnavailable:
     return StoreUnavailable(ErrorCode.STORE_UNAVAILABLE, detail)
 
@@ -154,10 +177,11 @@
     entries = fields.get("objects")
     if not isinstance(entries, list):
         raise _malformed("a list without objects")
+    era = _era(fields)
     objects = []
     for entry in entries:
         try:
-            objects.append(_to_stored_object(entry))
+            objects.append(_to_stored_object(entry, era))
         except StoreUnavailable as error:
             _LOG.error("ObjectUnreadable", extra={"key": "", "why": error.detail})
-    return Listing(tuple(objects), _revision(fields))
+    return Listing(tuple(objects), _revision(fields), era)
--- a/packages/core/src/bramleyglade_core/decisions/configuration.py
+++ b/packages/core/src/bramleyglade_core/decisions/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import cached_property
 from typing import TYPE_CHECKING, TypeVar
 
@@ -71,9 +72,16 @@
             is_changed = True
         return Configuration(merged, latest_whole) if is_changed else self
 
+    def without_revisions(self) -> Configuration:
+        """Return the same configuration as of before the first revision of an era."""
+        states = {k: replace(s, revision=0) for k, s in self.state_by_key.items()}
+        return Configuration(states, self.whole_ticket)
+
     def states_after(self, revision: int) -> tuple[EntityState, ...]:
-        """Return the states set by tickets accepted after a revision."""
+        """Return the states set by tickets accepted after a revision; all after 0."""
         states = self.state_by_key.values()
+        if revision == 0:
+            return tuple(states)
         return tuple(state for state in states if state.revision > revision)
 
     @cached_property
--- a/packages/core/src/bramleyglade_core/decisions/lease.py
+++ b/packages/core/src/bramleyglade_core/decisions/lease.py
@@ -72,12 +72,18 @@
         self._clock = clock
         self._end = float("-inf")
         self._fresh_end = float("-inf")
+        self._valid_since = float("inf")
 
     @property
     def is_valid(self) -> bool:
         """Whether the lease holds now."""
         return self._clock() < self._end
 
+    @property
+    def valid_since(self) -> float:
+        """Time since which it has held without a gap; infinite if it does not hold."""
+        return self._valid_since if self.is_valid else float("inf")
+
     @property
     def remaining_seconds(self) -> float:
         """Seconds until the lease lapses; 0 once it has."""
@@ -94,8 +100,10 @@
         Args:
             asked_at: Time on this process's clock before the read, in seconds.
         """
+        was_valid = self.is_valid
         self._fresh_end = max(self._fresh_end, asked_at + self._settings.term_seconds)
         self._end = max(self._end, self._fresh_end)
+        self._note_begin(was_valid)
 
     @property
     def fresh_seconds(self) -> float:
@@ -111,11 +119,13 @@
             seconds: Remaining seconds of the peer's lease when it answered.
             fresh_seconds: The part of them that rests on a read of the store.
         """
+        was_valid = self.is_valid
         term = self._settings.term_seconds
         self._end = max(self._end, asked_at + min(seconds, term))
         if fresh_seconds > 0:
             fresh_end = asked_at + min(fresh_seconds, term)
             self._fresh_end = max(self._fresh_end, fresh_end)
+        self._note_begin(was_valid)
 
     def extend(self, asked_at: float) -> bool:
         """Extend the lease since a majority can't reach the store.
@@ -132,6 +142,10 @@
         self._end = max(self._end, asked_at + self._settings.term_seconds)
         return True
 
+    def _note_begin(self, was_valid: bool) -> None:
+        if not was_valid and self.is_valid:
+            self._valid_since = self._clock()
+
 
 class StoreContact:
     """A daemon's record of its own calls to the store."""
--- a/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
+++ b/packages/core/src/bramleyglade_core/decisions/shard_keeper.py
@@ -19,6 +19,11 @@
     from bramleyglade_core.model.shares import HeldShare, ShareAsked
 
 
+_FIRST_ERA = 1
+"""First era of a store that has eras. In later ones, a shard without a keeper may have
+lost it in a restoration of the store."""
+
+
 class KeeperPhase(Enum):
     """How far a new keeper has taken over its shard."""
 
@@ -47,7 +52,7 @@
         self._settings = settings
         self._allocator_by_team: dict[str, TeamAllocator] = {}
         self._ejections_by_service: dict[str, EjectionPermits] = {}
-        self._is_first = assignment.epoch == 1
+        self._is_first = assignment.takeover == 1 and assignment.era <= _FIRST_ERA
         self.phase = KeeperPhase.GRANTING if self._is_first else KeeperPhase.WAITING
         self._next_phase_from = now + self.lease_wait_seconds
         self._granting_since = now
@@ -57,6 +62,15 @@
         self._last_use_by_daemon: Mapping[DaemonId, float] = {}
         """Times after which a leaving daemon spends nothing, in seconds."""
 
+    @property
+    def granting_since(self) -> float:
+        """Time at which it began to grant, if it does, in seconds."""
+        return self._granting_since
+
+    def claim_again(self, assignment: KeeperAssignment) -> None:
+        """Go on with the same shares under a claim in a new era of the store."""
+        self.assignment = assignment
+
     @property
     def lease_wait_seconds(self) -> float:
         """Time after which any other daemon's lease has lapsed, with a margin."""
--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.decisions.store_era import ZoneHold
 from bramleyglade_core.model.announcements import KeeperAssignment
 from bramleyglade_core.model.tickets import EntityState
 
@@ -23,61 +24,123 @@
     assignments: tuple[KeeperAssignment, ...] = ()
     whole_ticket: int = 0
     """Highest ticket that carried all entities; 0 if none did."""
+    era: int = 0
+    """Era of the store that both revisions belong to; 0 without eras."""
 
 
 class SharedView:
     """Configuration and keeper assignments as of one revision of the store."""
 
     def __init__(self) -> None:
+        self.era = 0
+        """Newest known era of the store; 0 from a store without eras."""
         self.revision = 0
-        """Revision up to which all changes in the store are merged."""
+        """Revision of the era up to which all changes in the store are merged."""
         self.newest_known_revision = 0
-        """Highest revision reported by the store or a peer."""
+        """Highest revision of the era reported by the store or a peer."""
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.assignment_by_shard: dict[int, KeeperAssignment] = {}
+        """Newest known assignments, also those that no later era has replaced yet."""
+        self._former = (0, 0)
+        """The era before this one, and the revision of it that was merged."""
+        self._zone_hold = ZoneHold()
 
-    def apply(self, batch: SharedBatch) -> bool:
+    def enter_era(self, era: int, now: float) -> bool:
+        """Start over at the first revision of a new era; keep what is in force.
+
+        Args:
+            era: An era that the store or a peer has told.
+            now: Time of this process's clock, in seconds.
+
+        Returns:
+            False if the era is not new.
+        """
+        if era <= self.era:
+            return False
+        self._former = (self.era, self.revision)
+        self.era, self.revision, self.newest_known_revision = era, 0, 0
+        self.configuration = self.configuration.without_revisions()
+        self._zone_hold.begin(now)
+        return True
+
+    def apply(self, batch: SharedBatch, now: float = 0.0) -> bool:
         """Merge a batch; each ticket in it takes effect as a whole.
 
         Args:
             batch: Changes from the store or from a peer.
+            now: Time of this process's clock, in seconds.
 
         Returns:
-            False if the batch would leave a gap; nothing is changed then.
+            False if the batch would leave a gap; nothing but the era is changed then.
         """
-        self.note_revision(batch.up_to)
+        if batch.era < self.era:
+            self._apply_late(batch, now)
+            return True
+        self.enter_era(batch.era, now)
+        self.note_revision(batch.up_to, batch.era)
         if batch.after > self.revision:
             return False
-        self.configuration = self.configuration.merged(batch.states, batch.whole_ticket)
+        self._merge_states(batch, now)
         for assignment in batch.assignments:
             self._merge_assignment(assignment)
         self.revision = max(self.revision, batch.up_to)
         return True
 
-    def note_revision(self, revision: int) -> None:
-        """Record that the store has reached a revision."""
-        self.newest_known_revision = max(self.newest_known_revision, revision)
+    def release_zones(self, now: float) -> tuple[EntityState, ...]:
+        """Put zones back whose hold in this era has ended; return their states."""
+        states = self._zone_hold.release(now)
+        self.configuration = self.configuration.merged(states)
+        return states
+
+    def note_revision(self, revision: int, era: int = 0) -> None:
+        """Record that the store has reached a revision of an era."""
+        if era == self.era:
+            self.newest_known_revision = max(self.newest_known_revision, revision)
 
-    def is_current(self, revision: int) -> bool:
+    def is_current(self, revision: int, era: int = 0) -> bool:
         """Return whether a revision is the newest known one and is merged.
 
         An answer as of an older revision must not renew a lease: it may come from a
-        store that serves stale data, or from a peer that lags.
+        store that serves stale data, or from a peer that lags. Nor must one of another
+        era, whose revisions are other changes.
         """
+        if era != self.era:
+            return False
         return self.newest_known_revision <= revision <= self.revision
 
     def batch_after(self, revision: int) -> SharedBatch:
-        """Return the changes that a peer at this revision lacks."""
+        """Return the changes that a peer at this revision of the era lacks."""
         assignments = self.assignment_by_shard.values()
         return SharedBatch(
             after=revision,
             up_to=self.revision,
             states=self.configuration.states_after(revision),
-            assignments=tuple(a for a in assignments if a.revision > revision),
+            assignments=tuple(
+                a
+                for a in assignments
+                if a.revision > revision or (a.era < self.era and not revision)
+            ),
             whole_ticket=self.configuration.whole_ticket,
+            era=self.era,
         )
 
+    def _apply_late(self, batch: SharedBatch, now: float) -> None:
+        """Merge what operators wrote in the era before; it may be in force elsewhere.
+
+        Nothing else of an earlier era counts any more.
+        """
+        era, revision = self._former
+        if batch.era == era and batch.after <= revision:
+            self._former = (era, max(revision, batch.up_to))
+            states = tuple(replace(state, revision=0) for state in batch.states)
+            self._merge_states(replace(batch, states=states), now)
+
+    def _merge_states(self, batch: SharedBatch, now: float) -> None:
+        current = self.configuration
+        states = self._zone_hold.filter(batch.states, current.state_by_key, now)
+        self.configuration = current.merged(states, batch.whole_ticket)
+
     def _merge_assignment(self, assignment: KeeperAssignment) -> None:
         current = self.assignment_by_shard.get(assignment.shard)
-        if current is None or current.revision < assignment.revision:
+        if current is None or current.recency < assignment.recency:
             self.assignment_by_shard[assignment.shard] = assignment
--- a/packages/core/src/bramleyglade_core/model/announcements.py
+++ b/packages/core/src/bramleyglade_core/model/announcements.py
@@ -16,6 +16,21 @@
 MAX_NUMBER = 2**63 - 1
 """Largest incarnation, sequence number, time, shard or epoch."""
 
+MAX_ERA = 2**31 - 1
+"""Largest era of the store that an epoch has room for."""
+
+_TAKEOVER_BITS = 32
+
+
+def epoch_of(era: int, takeovers: int) -> int:
+    """Return the epoch of a keeper.
+
+    Args:
+        era: Era of the store in which it claimed its shard.
+        takeovers: Takeovers of the shard so far, this one included.
+    """
+    return (era << _TAKEOVER_BITS) + takeovers
+
 
 @dataclass(frozen=True, slots=True)
 class TargetAnnouncement:
@@ -126,7 +141,11 @@
     shard: int
     keeper: DaemonId
     epoch: int
-    """Grows by one with each takeover, from 1 for the first keeper."""
+    """Grows with each takeover; from 1 for the first keeper, if the store has no eras.
+
+    The upper bits are the era in which the shard was claimed, so that an epoch that the
+    store has lost is not given out again.
+    """
     revision: int = 0
     """Revision of the store at which the assignment was written."""
 
@@ -135,6 +154,21 @@
         _check_number("epoch", self.epoch)
         _check_number("incarnation", self.keeper.incarnation)
 
+    @property
+    def era(self) -> int:
+        """Era of the store in which the shard was claimed."""
+        return self.epoch >> _TAKEOVER_BITS
+
+    @property
+    def takeover(self) -> int:
+        """Number of takeovers of the shard, this one included."""
+        return self.epoch & ((1 << _TAKEOVER_BITS) - 1)
+
+    @property
+    def recency(self) -> tuple[int, int]:
+        """Sort key; the newest assignment of a shard has the highest."""
+        return (self.era, self.revision)
+
 
 def _check_number(name: str, value: int) -> None:
     if not 0 <= value <= MAX_NUMBER:
--- a/packages/core/src/bramleyglade_core/model/errors.py
+++ b/packages/core/src/bramleyglade_core/model/errors.py
@@ -55,6 +55,7 @@
     STORE_UNAVAILABLE = "store-unavailable"
     STORE_ANSWER_LOST = "store-answer-lost"
     VERSION_CONFLICT = "version-conflict"
+    STORE_RESTORED = "store-restored"
 
 
 class FleetError(Exception):
@@ -117,5 +118,18 @@
     """The object exists already, or its version is not the expected one."""
 
 
+class StoreRestored(StoreError):
+    """The store has been restored from a copy since the state that a call rests on.
+
+    A write may have taken effect all the same, and its condition may have matched
+    other content than was read.
+    """
+
+    def __init__(self, era: int, detail: str) -> None:
+        super().__init__(ErrorCode.STORE_RESTORED, detail)
+        self.era = era
+        """Era of the store's answer."""
+
+
 class BadInput(FleetError):
     """Settings, a ticket, an announcement or a peer message is malformed."""
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass
 
-from bramleyglade_core.model.announcements import MemberRecord, TargetRun
+from bramleyglade_core.model.announcements import MAX_ERA, MemberRecord, TargetRun
 from bramleyglade_core.model.exchange import AttemptOffered
 from bramleyglade_core.model.identifiers import DaemonId
 
@@ -69,6 +69,11 @@
     """Store revision that the sender has."""
     members_digest: int
     """Digest of the sender's member records."""
+    era: int = 0
+    """Era of the store that the revision belongs to; 0 without eras."""
+
+    def __post_init__(self) -> None:
+        _check_era(self.era)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +87,11 @@
     fresh_seconds: float
     """Part of that time that rests on a read of the store; 0 if none."""
     views: tuple[TargetViewTold, ...] = ()
+    era: int = 0
+    """Era of the store that the revision belongs to; 0 without eras."""
+
+    def __post_init__(self) -> None:
+        _check_era(self.era)
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +113,11 @@
     assignments: bytes
     whole_ticket: int = 0
     """Highest number of a ticket that carried all entities; 0 if none did."""
+    era: int = 0
+    """Era of the store that the revisions belong to; 0 without eras."""
+
+    def __post_init__(self) -> None:
+        _check_era(self.era)
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,6 +256,11 @@
     """The front has cancelled an attempt."""
 
 
+def _check_era(era: int) -> None:
+    if not 0 <= era <= MAX_ERA:
+        raise ValueError(f"era must lie between 0 and {MAX_ERA}")
+
+
 def _check_retries(retries: float) -> None:
     if not 0.0 <= retries < math.inf:
         raise ValueError("retries must be a number that is not negative")
