Start over from a restored store without giving up what is in force

Daemons tell each other the era with heartbeats and batches. When it rises, each reads the store from its first revision, keeps the newest configuration, writes its own record again at a random time that grows with the fleet, and claims the shards that it is sure to keep alone; all other shards are taken over with the full waits. Epochs of keepers contain the era. Answers of an earlier era are dropped.

--- a/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
+++ b/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
@@ -75,11 +75,16 @@
                 if ticket.is_whole:
                     whole_ticket = max(whole_ticket, ticket.number)
             elif stored.key.startswith(KEEPER_PREFIX):
-                assignments.append(_read_assignment(stored))
+                assignments.append(read_assignment(stored))
         except BadInput as error:
             _LOG.error("ObjectUnreadable", extra={"key": stored.key, "why": str(error)})
     return SharedBatch(
-        after, listing.revision, tuple(states), tuple(assignments), whole_ticket
+        after,
+        listing.revision,
+        tuple(states),
+        tuple(assignments),
+        whole_ticket,
+        listing.era,
     )
 
 
@@ -95,7 +100,12 @@
     return records
 
 
-def _read_assignment(stored: StoredObject) -> KeeperAssignment:
+def read_assignment(stored: StoredObject) -> KeeperAssignment:
+    """Decode a shard's keeper assignment.
+
+    Raises:
+        BadInput: If the object is not a valid assignment.
+    """
     assignment = from_json(KeeperAssignment, stored.value, ErrorCode.BAD_PEER_MESSAGE)
     return replace(assignment, revision=stored.revision)
 
--- a/packages/core/src/bramleyglade_core/decisions/store_era.py
+++ b/packages/core/src/bramleyglade_core/decisions/store_era.py
@@ -55,6 +55,11 @@
     source: str
     """The peer that told of it, or an empty string for the store."""
 
+    @property
+    def is_first(self) -> bool:
+        """Whether this daemon has just started and had not read the store before."""
+        return self.before == (0, 0)
+
 
 def next_epoch(current: KeeperAssignment | None, era: int) -> int:
     """Return the epoch of a new claim.
@@ -79,6 +84,15 @@
     return assignment.era == era
 
 
+def may_replace(claim: KeeperAssignment, stored: KeeperAssignment) -> bool:
+    """Return whether a claim may take the place of what the store still has.
+
+    The store may have kept a takeover that the claimant has not heard of, or another
+    daemon may have claimed the shard in this era.
+    """
+    return stored.era < claim.era and stored.takeover < claim.takeover
+
+
 def may_confirm(keeper: ShardKeeper, lease: Lease, has_handed_over: bool) -> bool:
     """Return whether a keeper of an earlier era may claim its shard again.
 
--- a/packages/core/src/bramleyglade_core/model/announcements.py
+++ b/packages/core/src/bramleyglade_core/model/announcements.py
@@ -32,6 +32,11 @@
     return (era << _TAKEOVER_BITS) + takeovers
 
 
+def era_of_epoch(epoch: int) -> int:
+    """Return the era of the store in which a keeper claimed its shard."""
+    return epoch >> _TAKEOVER_BITS
+
+
 @dataclass(frozen=True, slots=True)
 class TargetAnnouncement:
     """A target as announced to the guard on its VM."""
@@ -157,7 +162,7 @@
     @property
     def era(self) -> int:
         """Era of the store in which the shard was claimed."""
-        return self.epoch >> _TAKEOVER_BITS
+        return era_of_epoch(self.epoch)
 
     @property
     def takeover(self) -> int:
--- a/packages/daemon/src/bramleyglade_daemon/daemon.py
+++ b/packages/daemon/src/bramleyglade_daemon/daemon.py
@@ -89,6 +89,7 @@
         self.records.on_predecessor = self.member_store.replace_predecessor
         self.guard.on_view_changed = self.peers.send_to_linked_peers
         self.shared.on_lease_extended = self.limiter.extend
+        self.shared.on_era = [self.member_store.note_era, self.keepers.note_era]
         self.keepers.on_recalled = self.limiter.recall
         self.keepers.on_holdings_asked = self.limiter.report_holdings
         announcer = AnnounceServer(context, self.guard)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -7,13 +7,33 @@
 
 import curio
 
-from bramleyglade_adapters.store.shared_objects import keeper_key
+from bramleyglade_adapters.store.shared_objects import keeper_key, read_assignment
 from bramleyglade_adapters.structure import to_json
 from bramleyglade_core.decisions.rendezvous import rank, shard_of, winner
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
-from bramleyglade_core.model.announcements import DaemonPhase, KeeperAssignment
+from bramleyglade_core.decisions.store_era import (
+    CONFIRM_SECONDS,
+    EraChange,
+    is_in_force,
+    may_confirm,
+    may_keep_book,
+    may_replace,
+    next_epoch,
+    rewrite_delay,
+    spread_seconds,
+)
+from bramleyglade_core.model.announcements import (
+    DaemonPhase,
+    KeeperAssignment,
+    era_of_epoch,
+)
 from bramleyglade_core.model.ejections import EjectionAsked, EjectionTold
-from bramleyglade_core.model.errors import FleetError, StoreError
+from bramleyglade_core.model.errors import (
+    BadInput,
+    FleetError,
+    StoreError,
+    VersionConflict,
+)
 from bramleyglade_core.model.settings import OutagePolicy
 from bramleyglade_core.model.shares import (
     BookHandedOver,
@@ -70,6 +90,10 @@
         self._collector = HoldingsCollector(context, peers, self._report_holdings)
         self._pending_handovers: list[BookHandedOver] = []
         """Handovers of superseded keepers, not sent yet."""
+        self._confirm_at = float("-inf")
+        """Time from which this daemon claims its shards again in the store's era."""
+        self._reclaim_at = float("-inf")
+        """Time from which it claims shards of others that have not done so."""
         self.calls = KeeperCalls(context, peers)
         self.on_holdings_asked: Callable[[int], HoldingsTold] | None = None
         """Called with a shard; returns what this daemon holds of its teams."""
@@ -89,15 +113,44 @@
             jitter = self._context.random.uniform(0.8, 1.2)
             await curio.sleep(_PERIOD_SECONDS * jitter)
 
+    async def note_era(self, change: EraChange) -> None:
+        """Forget what was known of takeovers, since claims may have been lost.
+
+        Keepers that are sure to be the only ones claim their shards again.
+        """
+        now = self._context.clock()
+        shards = self._context.settings.limits.shards
+        self._confirm_at = now + rewrite_delay(shards, self._context.random)
+        self._reclaim_at = now + spread_seconds(shards) + CONFIRM_SECONDS
+        self._handover_by_shard = {
+            shard: handover
+            for shard, handover in self._handover_by_shard.items()
+            if era_of_epoch(handover.epoch) >= change.after[0]
+        }
+        self._predecessor_by_shard.clear()
+        self._claimed_at_by_shard.clear()
+        self.apply_assignments()
+
     def apply_assignments(self) -> None:
         """Start and stop keeping shards to match the assignments in force."""
         now = self._context.clock()
+        era = self._context.view.era
         for shard, assignment in self._context.view.assignment_by_shard.items():
             keeper = self._keeper_by_shard.get(shard)
-            if assignment.keeper != self._context.daemon:
+            if not is_in_force(assignment, era):
+                if keeper is not None and not self._may_confirm(keeper):
+                    del self._keeper_by_shard[shard]
+                    _LOG.warning("KeeperUnconfirmed", extra={"shard": shard})
+                    self._context.telemetry.note_event("KeeperUnconfirmed")
+            elif assignment.keeper != self._context.daemon:
                 if keeper is not None:
                     del self._keeper_by_shard[shard]
                     self._step_down(keeper, assignment)
+            elif keeper is not None and self._may_keep_book(keeper, assignment):
+                keeper.claim_again(assignment)
+                extra = {"shard": shard, "epoch": assignment.epoch}
+                _LOG.info("ShardConfirmed", extra=extra)
+                self._context.telemetry.note_event("ShardConfirmed")
             elif keeper is None or keeper.assignment.epoch != assignment.epoch:
                 keeper = ShardKeeper(assignment, self._context.settings, now)
                 self._keeper_by_shard[shard] = keeper
@@ -197,6 +250,8 @@
         """Hand each shard over to a successor, as this daemon leaves."""
         serving = self._context.directory.serving_names()
         others = [name for name in serving if name != self._context.settings.name]
+        if self._context.view.era:
+            self.apply_assignments()
         granting = [
             keeper
             for keeper in self._keeper_by_shard.values()
@@ -227,6 +282,8 @@
         """
         extra = {"shard": assignment.shard, "keeper": assignment.keeper.name}
         _LOG.warning("KeeperSuperseded", extra=extra)
+        if keeper.assignment.era < assignment.era and not self._may_confirm(keeper):
+            return  # Another daemon may have granted since; the store has lost that.
         if keeper.phase is KeeperPhase.GRANTING:
             self._pending_handovers.append(keeper.hand_over(assignment))
 
@@ -262,6 +319,14 @@
         epoch = self._epoch_by_handed_over_shard.get(assignment.shard)
         return epoch == assignment.epoch
 
+    def _may_confirm(self, keeper: ShardKeeper) -> bool:
+        has_handed_over = self._has_handed_over(keeper)
+        return may_confirm(keeper, self._context.lease, has_handed_over)
+
+    def _may_keep_book(self, keeper: ShardKeeper, claimed: KeeperAssignment) -> bool:
+        has_handed_over = self._has_handed_over(keeper)
+        return may_keep_book(keeper, claimed, self._context.lease, has_handed_over)
+
     def _keeper_name_for_key(self, key: str) -> str | None:
         shards = self._context.settings.limits.shards
         return self._keeper_name_of_shard(shard_of(key, shards))
@@ -298,15 +363,29 @@
             assignment = self._context.view.assignment_by_shard.get(shard)
             if assignment is None and not is_settled:
                 continue
-            if assignment is not None and self._is_keeper_live(shard, assignment, now):
+            if assignment is not None and not is_in_force(
+                assignment, self._context.view.era
+            ):
+                if shard in self._keeper_by_shard:
+                    if now >= self._confirm_at and self._may_claim_now(shard, now):
+                        orphans.append(shard)
+                    continue
+                if now < self._reclaim_at:
+                    continue
+            elif assignment is not None and self._is_keeper_live(
+                shard, assignment, now
+            ):
                 continue
-            claimed_at = self._claimed_at_by_shard.get(shard, float("-inf"))
-            if now - claimed_at < _CLAIM_RETRY_SECONDS:
+            if not self._may_claim_now(shard, now):
                 continue
             if winner(f"shard/{shard}", serving) == self._context.settings.name:
                 orphans.append(shard)
         return orphans
 
+    def _may_claim_now(self, shard: int, now: float) -> bool:
+        claimed_at = self._claimed_at_by_shard.get(shard, float("-inf"))
+        return now - claimed_at >= _CLAIM_RETRY_SECONDS
+
     async def _collect_reports(self) -> None:
         """Shorten the waits of new keepers by querying every daemon's holdings."""
         for shard, keeper in list(self._keeper_by_shard.items()):
@@ -332,9 +411,10 @@
         return record.daemon == daemon and record.phase is DaemonPhase.GONE
 
     async def _claim(self, shard: int, current: KeeperAssignment | None) -> None:
-        if current is not None:
+        era = self._context.view.era
+        if current is not None and is_in_force(current, era):
             self._predecessor_by_shard[shard] = current.keeper
-        epoch = current.epoch + 1 if current is not None else 1
+        epoch = next_epoch(current, era)
         assignment = KeeperAssignment(shard, self._context.daemon, epoch)
         await self._write(assignment, current)
         extra: dict[str, object] = {"shard": shard, "epoch": epoch}
@@ -347,18 +427,41 @@
         self, assignment: KeeperAssignment, current: KeeperAssignment | None
     ) -> None:
         """Try to write an assignment; the shared view shows whether it took effect."""
-        key = keeper_key(assignment.shard)
+        key, value = keeper_key(assignment.shard), to_json(assignment)
+        store, era = self._context.store, self._context.view.era
         try:
-            if current is None:
-                await self._context.store.create(key, to_json(assignment))
-            else:
-                value = to_json(assignment)
-                await self._context.store.update(key, value, current.revision)
-        except StoreError as error:
+            if current is not None and is_in_force(current, era):
+                await self._replace(key, assignment, current, era)
+            elif current is None or (stored := await store.read(key)) is None:
+                await store.create(key, value, era or None)
+            elif may_replace(assignment, read_assignment(stored)):
+                await store.update(key, value, stored.revision, stored.era)
+        except (StoreError, BadInput) as error:
             _LOG.info(
                 "ClaimFailed", extra={"shard": assignment.shard, "why": str(error)}
             )
 
+    async def _replace(
+        self, key: str, claim: KeeperAssignment, current: KeeperAssignment, era: int
+    ) -> None:
+        """Replace an assignment that is in force.
+
+        A daemon that did not know of the new era yet may have overwritten it, if the
+        revisions happened to match; what it wrote never came into force.
+
+        Raises:
+            StoreError: If the claim has not been written.
+            BadInput: If the stored assignment is malformed.
+        """
+        store, value = self._context.store, to_json(claim)
+        try:
+            await store.update(key, value, current.revision, era or None)
+        except VersionConflict:
+            stored = await store.read(key) if era else None
+            if stored is None or read_assignment(stored).era >= era:
+                raise
+            await store.update(key, value, stored.revision, stored.era)
+
     async def _confirm_keepers(self) -> None:
         """Let waiting keepers proceed if a majority has reached the store.
 
@@ -400,7 +503,8 @@
 
     async def _hand_over(self, keeper: ShardKeeper, successor: DaemonId) -> None:
         shard = keeper.assignment.shard
-        assignment = KeeperAssignment(shard, successor, keeper.assignment.epoch + 1)
+        epoch = next_epoch(keeper.assignment, self._context.view.era)
+        assignment = KeeperAssignment(shard, successor, epoch)
         try:
             handover = keeper.hand_over(assignment)
             await self._peers.call(successor.name, handover, ANSWER_TIMEOUT_SECONDS)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/member_store.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/member_store.py
@@ -14,9 +14,14 @@
     read_members,
 )
 from bramleyglade_adapters.structure import to_json
-from bramleyglade_core.decisions.rendezvous import spread
+from bramleyglade_core.decisions.rendezvous import spread, winner
+from bramleyglade_core.decisions.store_era import (
+    EraChange,
+    incarnation_after,
+    rewrite_delay,
+)
 from bramleyglade_core.model.announcements import DaemonPhase
-from bramleyglade_core.model.errors import StoreError, VersionConflict
+from bramleyglade_core.model.errors import StoreError, StoreRestored, VersionConflict
 from bramleyglade_core.ports.store import Listing
 from bramleyglade_daemon.fleet.context import new_incarnation
 
@@ -63,6 +68,26 @@
         self._own_revision: int | None = 0 if is_new else None
         """Revision of this daemon's object; 0 if there is none, None if unknown."""
         self._members_revision = 0
+        self._members_era = 0
+        """Era in which the members were read up to that revision."""
+        self._written: MemberRecord | None = None
+        """The record that was written last, or tried."""
+        self._is_lost = False
+        """Whether the store may have lost this daemon's record in a restoration."""
+        self._era_changed = curio.Event()
+
+    async def note_era(self, change: EraChange) -> None:
+        """Write this daemon's record again, and read all members again.
+
+        The store has lost what was written after its copy; revisions that are known
+        may belong to other content now.
+        """
+        self._own_revision = None
+        self._stored_recency = (0, 0)
+        self._is_lost = True
+        if not change.is_first:
+            await self._era_changed.set()
+        await self._records.changed.set()
 
     async def keep_record(self) -> bool:
         """Wait until the store has this daemon's record.
@@ -82,6 +107,7 @@
         backoff = _STORE_RETRY_SECONDS
         while True:
             self._records.changed.clear()
+            await self._wait_for_turn()
             try:
                 await self._learn_history()
                 await self._write(self._context.record)
@@ -117,7 +143,25 @@
                     pause = _STORE_PERIOD_SECONDS if has_links else _UNLINKED_SECONDS
             except StoreError as error:
                 _LOG.info("MembersUnread", extra={"why": str(error)})
-            await curio.sleep(pause * self._context.random.uniform(0.8, 1.2))
+            pause *= self._context.random.uniform(0.8, 1.2)
+            if await curio.ignore_after(pause, self._await_era) is not None:
+                # The other daemons write their records again in this time.
+                count = len(self._context.directory.member_names())
+                await curio.sleep(rewrite_delay(count, self._context.random))
+
+    async def _await_era(self) -> bool:
+        await self._era_changed.wait()
+        self._era_changed.clear()
+        return True
+
+    async def _wait_for_turn(self) -> None:
+        """Spread the writes of the fleet in a new era; a change is written at once."""
+        is_due, self._is_lost = self._is_lost, False
+        if is_due and self._written is self._context.record:
+            count = len(self._context.directory.member_names())
+            delay = rewrite_delay(count, self._context.random)
+            await curio.ignore_after(delay, self._records.changed.wait)
+            self._records.changed.clear()
 
     async def write_final_record(self) -> None:
         """Try once to write this daemon's final record to the store."""
@@ -140,7 +184,14 @@
             newest = max(record.sequence, stored_records[0].sequence)
             gone = _gone_record(replace(stored_records[0], sequence=newest))
             key = member_key(name)
-            await self._context.store.update(key, to_json(gone), stored.revision)
+            await self._context.store.update(
+                key, to_json(gone), stored.revision, stored.era
+            )
+        except StoreRestored as error:
+            extra = {"member": name, "why": str(error)}
+            _LOG.warning("GoneWrittenInOtherEra", extra=extra)
+            await self._repair(name)
+            return
         except StoreError as error:
             _LOG.info("GoneNotWritten", extra={"member": name, "why": str(error)})
             return
@@ -158,10 +209,13 @@
         await curio.spawn(self.mark_gone, record, daemon=True)
 
     def _is_reader(self) -> bool:
-        records = self._context.directory.record_by_name
         serving = self._context.directory.serving_names()
+        return self._context.settings.name in self._reader_names(serving)
+
+    def _reader_names(self, serving: list[str]) -> list[str]:
+        records = self._context.directory.record_by_name
         zone_by_name = {name: records[name].zone for name in serving}
-        return self._context.settings.name in spread("members", zone_by_name, _READERS)
+        return spread("members", zone_by_name, _READERS)
 
     async def _read_some(self) -> None:
         """Read some records, beginning after this daemon's own in the order of keys."""
@@ -177,8 +231,49 @@
         listing = await self._context.store.list_changed(
             MEMBER_PREFIX, self._members_revision
         )
-        self._members_revision = listing.revision
-        await self._records.merge(read_members(listing), source="")
+        if listing.era < self._members_era:
+            _LOG.info("MembersOutdated", extra={"era": listing.era})
+            return
+        if listing.era > self._members_era and self._members_revision:
+            self._members_era, self._members_revision = listing.era, 0
+            await self._read_all()
+            return
+        self._members_era, self._members_revision = listing.era, listing.revision
+        records = read_members(listing)
+        await self._records.merge(records, source="")
+        if listing.era:
+            await self._restore_ends(records)
+
+    async def _restore_ends(self, records: list[MemberRecord]) -> None:
+        """Record again the end of daemons whose last record the store has lost."""
+        directory = self._context.directory
+        serving = directory.serving_names()
+        for record in records:
+            name = record.daemon.name
+            known = directory.record_by_name.get(name)
+            if known is None or known.phase is not DaemonPhase.GONE:
+                continue
+            is_gone = record.phase is DaemonPhase.GONE
+            if is_gone or record.recency >= known.recency:
+                continue
+            readers = self._reader_names(serving)
+            if winner(f"gone/{name}", readers) == self._context.settings.name:
+                await self.mark_gone(record)
+
+    async def _repair(self, name: str) -> None:
+        """Write a member's newest known record over one that was written unread."""
+        known = self._context.directory.record_by_name.get(name)
+        store = self._context.store
+        try:
+            stored = await store.read(member_key(name))
+            if stored is None or known is None:
+                return
+            records = read_members(Listing((stored,), stored.revision))
+            if records and records[0].recency < known.recency:
+                key, value = member_key(name), to_json(known)
+                await store.update(key, value, stored.revision, stored.era)
+        except StoreError as error:
+            _LOG.info("RecordNotRepaired", extra={"member": name, "why": str(error)})
 
     async def _write(self, record: MemberRecord) -> None:
         """Write a record, with a read only if the object's revision is not known.
@@ -186,31 +281,38 @@
         Raises:
             StoreError: If the store has not confirmed the write.
         """
+        self._written = record
         key = member_key(record.daemon.name)
         value = to_json(record)
         try:
             await self._replace(key, value)
-        except VersionConflict:
+        except (VersionConflict, StoreRestored):
             self._own_revision = None
             await self._replace(key, value)
+        if self._is_lost:
+            return  # The era has risen since; the record is written again.
         self._stored_recency = record.recency
         await self._record_stored.set()
         self._record_stored.clear()
 
     async def _replace(self, key: str, value: bytes) -> None:
         store = self._context.store
+        era: int | None = self._context.view.era or None
         # Until the store answers, the write may or may not have taken effect.
         revision, self._own_revision = self._own_revision, None
         if revision is None:
             stored = await store.read(key)
             revision = 0 if stored is None else stored.revision
+            era = stored.era if stored is not None else era
             if stored is not None and stored.value == value:
                 self._own_revision = revision
                 return
         if revision:
-            self._own_revision = await store.update(key, value, revision)
+            own_revision = await store.update(key, value, revision, era)
         else:
-            self._own_revision = await store.create(key, value)
+            own_revision = await store.create(key, value, era)
+        if not self._is_lost:
+            self._own_revision = own_revision
 
     async def _learn_history(self) -> None:
         """Read what earlier daemons of this VM knew, before their record is replaced.
@@ -248,17 +350,35 @@
     Returns:
         The record; None if there is none or it can't be read.
 
+    Raises:
+        StoreError: If the store gives no answer.
+    """
+    return (await read_earlier_record_and_era(store, name))[0]
+
+
+async def read_earlier_record_and_era(
+    store: ObjectStore, name: str
+) -> tuple[MemberRecord | None, int]:
+    """Read the record that an earlier process has left, and the era of the store.
+
+    Args:
+        store: The platform's object store.
+        name: The daemon's name.
+
+    Returns:
+        The record, as for `read_earlier_record`, and the era; 0 if it is unknown.
+
     Raises:
         StoreError: If the store gives no answer.
     """
     stored = await store.read(member_key(name))
     if stored is None:
-        return None
+        return None, 0
     records = read_members(Listing((stored,), stored.revision))
-    return records[0] if records else None
+    return (records[0] if records else None), stored.era
 
 
-def next_incarnation(earlier: MemberRecord | None) -> int:
+def next_incarnation(earlier: MemberRecord | None, era: int = 0) -> int:
     """Choose the incarnation of a starting daemon.
 
     Incarnations come from the wall clock, and a new VM's clock may lag behind that
@@ -266,6 +386,7 @@
 
     Args:
         earlier: The record that an earlier process has left in the store, if any.
+        era: Era of the store in which it was read.
 
     Returns:
         A number above that of any earlier process that the store has a record of.
@@ -273,4 +394,4 @@
     own_incarnation = new_incarnation()
     if earlier is None:
         return own_incarnation
-    return max(own_incarnation, earlier.daemon.incarnation + 1)
+    return max(own_incarnation, incarnation_after(earlier.daemon.incarnation, era))
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -158,7 +158,9 @@
         settings = self._context.settings.peers
         sent_at = self._context.clock()
         heartbeat = HeartbeatSent(
-            self._context.view.revision, self._context.directory.digest
+            self._context.view.revision,
+            self._context.directory.digest,
+            self._context.view.era,
         )
         try:
             reply = await link.call(heartbeat, settings.suspect_seconds)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -101,7 +101,7 @@
 
     @_handle.register
     async def _(self, message: HeartbeatSent, link: Link, stream: int) -> None:
-        self._context.view.note_revision(message.revision)
+        await self._shared.note_revision(link, message.revision, message.era)
         lease = self._context.lease
         answer = HeartbeatAnswered(
             revision=self._context.view.revision,
@@ -109,6 +109,7 @@
             lease_seconds=lease.remaining_seconds,
             fresh_seconds=lease.fresh_seconds,
             views=self._views_for(link),
+            era=self._context.view.era,
         )
         await self._send_answer(link, stream, answer)
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -22,7 +22,8 @@
 )
 from bramleyglade_core.decisions.rendezvous import spread
 from bramleyglade_core.decisions.shared_view import SharedBatch
-from bramleyglade_core.model.errors import FleetError, StoreError
+from bramleyglade_core.decisions.store_era import EraChange
+from bramleyglade_core.model.errors import FleetError, StoreError, StoreRestored
 from bramleyglade_core.model.peer_messages import (
     BatchAsked,
     BatchTold,
@@ -37,6 +38,7 @@
     from collections.abc import Awaitable, Callable
 
     from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.model.peer_messages import HeartbeatAnswered
     from bramleyglade_core.ports.store import Listing
     from bramleyglade_daemon.fleet.context import Context
@@ -55,6 +57,9 @@
 
 _FIRST_EVIDENCE_POLL_SECONDS = 0.1
 
+_NOTHING_AFTER = 2**62
+"""A revision that no store reaches; asked for, a peer tells only how far it is."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -68,6 +73,8 @@
         self._is_store_reachable = False
         """Whether the latest call to the store was answered."""
         self._pulling_from: set[str] = set()
+        self._compared_era_by_peer: dict[str, tuple[DaemonId, int]] = {}
+        """Era in which the configuration was last compared with a peer's process."""
         self._started_at = context.clock()
         self._watchers: frozenset[str] = frozenset()
         self._watcher_version = -1
@@ -76,12 +83,15 @@
         """Called with the request time and the end of each lease extension."""
         self.on_changed: Callable[[], Awaitable[None]] | None = None
         """Called when a new revision has come into force."""
+        self.on_era: list[Callable[[EraChange], Awaitable[None]]] = []
+        """Called when the store's era has risen."""
 
     async def run(self) -> None:
         """Follow the store, directly or through peers, until cancelled."""
         backoff = self._context.settings.lease.refresh_seconds
         while True:
             self._log_lease_change()
+            await self._release_zones()
             if await self._refresh_lease():
                 backoff = self._context.settings.lease.refresh_seconds
                 continue
@@ -106,14 +116,23 @@
                 in seconds.
         """
         view = self._context.view
-        view.note_revision(answer.revision)
+        await self.note_revision(link, answer.revision, answer.era)
+        if answer.era != view.era:
+            return
         if answer.revision > view.revision:
             await self.pull(link)
-        if answer.lease_seconds > 0 and view.is_current(answer.revision):
+        elif answer.era:
+            await self._compare_configuration(link)
+        if answer.lease_seconds > 0 and view.is_current(answer.revision, answer.era):
             self._context.lease.adopt(
                 sent_at, answer.lease_seconds, answer.fresh_seconds
             )
 
+    async def note_revision(self, link: Link, revision: int, era: int) -> None:
+        """Record which revision of the store a peer has seen."""
+        await self._enter_era(era, 0, link.peer_name)
+        self._context.view.note_revision(revision, era)
+
     async def pull(self, link: Link) -> None:
         """Fetch the changes that this daemon lacks from a peer."""
         assert link.peer is not None
@@ -139,6 +158,7 @@
             states_from_bytes(message.states),
             assignments_from_bytes(message.assignments),
             message.whole_ticket,
+            message.era,
         )
         return await self._apply(batch, link.peer.daemon.name)
 
@@ -225,6 +245,8 @@
             after = view.revision
             asked_at = self._context.clock()
             listing = await self._context.store.watch(SHARED_PREFIX, after, wait)
+        except StoreRestored as error:
+            return await self._read_restored(error)
         except StoreError as error:
             self._record_store_failure(error)
             return False
@@ -235,11 +257,24 @@
         after = self._context.view.revision
         try:
             listing = await self._context.store.list_changed(SHARED_PREFIX, after)
+        except StoreRestored as error:
+            return await self._read_restored(error)
         except StoreError as error:
             self._record_store_failure(error)
             return False
         return await self._apply_listing(listing, after, asked_at)
 
+    async def _read_restored(self, error: StoreRestored) -> bool:
+        """Read a store from its first revision, since it has none of a later one."""
+        await self._enter_era(error.era, 0, source="")
+        asked_at = self._context.clock()
+        try:
+            listing = await self._context.store.list_changed(SHARED_PREFIX, 0)
+        except StoreError as later_error:
+            self._record_store_failure(later_error)
+            return False
+        return await self._apply_listing(listing, 0, asked_at)
+
     def _record_store_failure(self, error: StoreError) -> None:
         self._context.contact.note_failure()
         if self._is_store_reachable:
@@ -254,16 +289,30 @@
         if not self._is_store_reachable:
             self._is_store_reachable = True
             _LOG.info("StoreReached", extra={"revision": listing.revision})
+        view = self._context.view
+        if listing.era < view.era:
+            extra = {"era": listing.era, "newest_era": view.era}
+            _LOG.info("StoreAnswerOutdated", extra=extra)
+            self._context.telemetry.note_event("StoreAnswerOutdated")
+            return False
+        if await self._enter_era(listing.era, listing.revision, source="") and after:
+            # It has only the changes after a revision of the earlier era.
+            return await self._read_store()
+        if after > view.revision:
+            return False  # The era began while the store was asked.
         await self._apply(read_batch(listing, after), source="")
-        if not self._context.view.is_current(listing.revision):
+        if not view.is_current(listing.revision, listing.era):
+            return False
+        if self._awaits_configuration():
             return False
         self._context.lease.renew(asked_at)
         return True
 
     async def _apply(self, batch: SharedBatch, source: str) -> bool:
         view = self._context.view
+        await self._enter_era(batch.era, batch.up_to, source)
         before, configuration = view.revision, view.configuration
-        if not view.apply(batch):
+        if not view.apply(batch, self._context.clock()):
             return False
         if view.revision == before and view.configuration is configuration:
             return True
@@ -271,12 +320,88 @@
             extra = {"revision": view.revision, "source": source or "store"}
             _LOG.info("RevisionInForce", extra=extra)
         # A change that arrives late is below the revision already held.
-        changes = view.batch_after(min(before, batch.after))
-        await self._peers.send_to_neighbours(_encode_batch(changes), exclude=source)
+        is_late = batch.era < view.era
+        changes = view.batch_after(0 if is_late else min(before, batch.after))
+        # In a new era every daemon reads all once, when a heartbeat tells it the era.
+        is_known = view.era and not before and configuration.state_by_key
+        if is_late or not is_known:
+            await self._peers.send_to_neighbours(_encode_batch(changes), exclude=source)
         if self.on_changed is not None:
             await self.on_changed()
         return True
 
+    async def _enter_era(self, era: int, revision: int, source: str) -> bool:
+        """Start over if the store's era has risen; return whether it has."""
+        view = self._context.view
+        before = (view.era, view.revision)
+        if not view.enter_era(era, self._context.clock()):
+            return False
+        change = EraChange(before, (era, revision), source)
+        extra = {
+            "era_before": before[0],
+            "revision_before": before[1],
+            "era": era,
+            "revision": revision,
+            "source": source or "store",
+        }
+        if change.is_first:
+            _LOG.info("StoreEraKnown", extra=extra)
+        else:
+            _LOG.warning("StoreEraChanged", extra=extra)
+            self._context.telemetry.note_event("StoreEraChanged")
+        for callback in self.on_era:
+            await callback(change)
+        return True
+
+    async def _compare_configuration(self, link: Link) -> None:
+        """Compare the configuration with a peer's, once in each era.
+
+        A version that the store has lost is still in force, but may not have reached
+        every daemon; revisions of the new era can't show that.
+        """
+        assert link.peer is not None
+        peer, era = link.peer.daemon, self._context.view.era
+        if self._compared_era_by_peer.get(peer.name) == (peer, era):
+            return
+        self._compared_era_by_peer[peer.name] = (peer, era)
+        own = self._context.configuration
+        try:
+            request = BatchAsked(_NOTHING_AFTER if own.state_by_key else 0)
+            answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
+            told = expect(answer, BatchTold)
+            if request.after and told.whole_ticket > own.whole_ticket:
+                answer = await link.call(BatchAsked(0), _ANSWER_TIMEOUT_SECONDS)
+                told = expect(answer, BatchTold)
+            if not told.after:
+                await self.apply_batch(link, told)
+        except FleetError as error:
+            self._compared_era_by_peer.pop(peer.name, None)
+            _LOG.info("PullFailed", extra={"peer": peer.name, "why": str(error)})
+
+    def _awaits_configuration(self) -> bool:
+        """Return whether a peer may know a version that the store has lost.
+
+        A daemon that starts after a restoration would otherwise accept keys that have
+        been withdrawn. If no peer answers for a while, the store's version counts.
+        """
+        if not self._context.view.era or self._compared_era_by_peer:
+            return False
+        return self._context.clock() < self._started_at + _FIRST_EVIDENCE_SECONDS
+
+    async def _release_zones(self) -> None:
+        """Put zones back that were taken out before the store was restored."""
+        view = self._context.view
+        states = view.release_zones(self._context.clock())
+        if not states:
+            return
+        names = sorted(state.key.name for state in states)
+        extra = {"zones": names, "era": view.era, "revision": view.revision}
+        _LOG.warning("ZonesReleased", extra=extra)
+        changes = view.batch_after(min(state.revision for state in states) - 1)
+        await self._peers.send_to_neighbours(_encode_batch(changes))
+        if self.on_changed is not None:
+            await self.on_changed()
+
     async def _extend_lease(self) -> None:
         """Extend a valid lease if the outage policy permits."""
         lease = self._context.lease
@@ -340,4 +465,5 @@
         states_to_bytes(batch.states),
         assignments_to_bytes(batch.assignments),
         batch.whole_ticket,
+        batch.era,
     )
--- a/packages/daemon/src/bramleyglade_daemon/guard/announce_server.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/announce_server.py
@@ -76,6 +76,7 @@
             "zone": context.settings.zone,
             "phase": context.phase.value,
             "revision": context.view.revision,
+            "era": context.view.era,
             "lease_seconds": round(context.lease.remaining_seconds, 3),
             "is_lease_extended": context.lease.is_extended,
             "members": sorted(directory.member_names()),
--- a/packages/daemon/src/bramleyglade_daemon/program.py
+++ b/packages/daemon/src/bramleyglade_daemon/program.py
@@ -24,7 +24,7 @@
 from bramleyglade_daemon.fleet.context import Context
 from bramleyglade_daemon.fleet.member_store import (
     next_incarnation,
-    read_earlier_record,
+    read_earlier_record_and_era,
 )
 from bramleyglade_daemon.stop_signal import StopSignal
 
@@ -72,9 +72,12 @@
     settings = reserve_descriptors(settings)
     telemetry = Telemetry(settings, random.Random())
     earlier: MemberRecord | None = None
+    era = 0
     is_history_known = True
     try:
-        earlier = await read_earlier_record(dependencies.store, settings.name)
+        earlier, era = await read_earlier_record_and_era(
+            dependencies.store, settings.name
+        )
     except StoreError as error:
         is_history_known = False
         _LOG.warning("EarlierRecordUnknown", extra={"why": str(error)})
@@ -82,7 +85,7 @@
         settings,
         dependencies.store,
         telemetry,
-        incarnation=next_incarnation(earlier),
+        incarnation=next_incarnation(earlier, era),
         dialect=dependencies.dialect,
         earlier_record=earlier,
         is_history_known=is_history_known,
