--- a/packages/core/src/bramleyglade_core/decisions/store_era.py
+++ b/packages/core/src/bramleyglade_core/decisions/store_era.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase
@@ -24,6 +25,7 @@
     from bramleyglade_core.decisions.shard_keeper import ShardKeeper
     from bramleyglade_core.model.announcements import KeeperAssignment
     from bramleyglade_core.model.entities import EntityKey
+    from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.model.tickets import EntityState
 
 _OBSERVATIONS_PER_ERA = 10**9
@@ -44,6 +46,21 @@
 the time over which the claims are spread."""
 
 
+class KeeperStep(Enum):
+    """What a daemon does when it compares what it keeps with an assignment."""
+
+    KEEP = "keep"
+    """Nothing changes."""
+    START = "start"
+    """It is the keeper, and has to wait as after any takeover."""
+    CLAIM_AGAIN = "claim again"
+    """It goes on with its book under its own claim in a later era."""
+    STEP_DOWN = "step down"
+    """Another daemon is the keeper."""
+    DROP = "drop"
+    """Another daemon may have been the keeper, and the store has lost that."""
+
+
 @dataclass(frozen=True, slots=True)
 class EraChange:
     """The store's era has risen."""
@@ -127,6 +144,39 @@
     return is_next and may_confirm(keeper, lease, has_handed_over)
 
 
+def next_step(
+    keeper: ShardKeeper | None,
+    assignment: KeeperAssignment,
+    own: DaemonId,
+    era: int,
+    lease: Lease,
+    has_handed_over: bool,
+) -> KeeperStep:
+    """Decide what an assignment means for a daemon.
+
+    Args:
+        keeper: The daemon's role as keeper of the shard, if it has one.
+        assignment: The newest known assignment of the shard, of any era.
+        own: The daemon.
+        era: The store's newest known era.
+        lease: The daemon's lease.
+        has_handed_over: Whether it has handed its book over.
+    """
+    is_own = assignment.keeper == own
+    if keeper is not None and is_own:
+        if may_keep_book(keeper, assignment, lease, has_handed_over):
+            return KeeperStep.CLAIM_AGAIN
+    if not is_in_force(assignment, era):
+        if keeper is None or may_confirm(keeper, lease, has_handed_over):
+            return KeeperStep.KEEP
+        return KeeperStep.DROP
+    if not is_own:
+        return KeeperStep.KEEP if keeper is None else KeeperStep.STEP_DOWN
+    if keeper is None or keeper.assignment.epoch != assignment.epoch:
+        return KeeperStep.START
+    return KeeperStep.KEEP
+
+
 def spread_seconds(writes: int) -> float:
     """Return the time over which a number of writes to the store is spread."""
     return writes / _WRITES_PER_SECOND
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -14,11 +14,12 @@
 from bramleyglade_core.decisions.store_era import (
     CONFIRM_SECONDS,
     EraChange,
+    KeeperStep,
     is_in_force,
     may_confirm,
-    may_keep_book,
     may_replace,
     next_epoch,
+    next_step,
     rewrite_delay,
     spread_seconds,
 )
@@ -137,24 +138,37 @@
         era = self._context.view.era
         for shard, assignment in self._context.view.assignment_by_shard.items():
             keeper = self._keeper_by_shard.get(shard)
-            if not is_in_force(assignment, era):
-                if keeper is not None and not self._may_confirm(keeper):
-                    del self._keeper_by_shard[shard]
-                    _LOG.warning("KeeperUnconfirmed", extra={"shard": shard})
-                    self._context.telemetry.note_event("KeeperUnconfirmed")
-            elif assignment.keeper != self._context.daemon:
-                if keeper is not None:
-                    del self._keeper_by_shard[shard]
-                    self._step_down(keeper, assignment)
-            elif keeper is not None and self._may_keep_book(keeper, assignment):
-                keeper.claim_again(assignment)
-                extra = {"shard": shard, "epoch": assignment.epoch}
-                _LOG.info("ShardConfirmed", extra=extra)
-                self._context.telemetry.note_event("ShardConfirmed")
-            elif keeper is None or keeper.assignment.epoch != assignment.epoch:
-                keeper = ShardKeeper(assignment, self._context.settings, now)
-                self._keeper_by_shard[shard] = keeper
-                self._apply_handover(keeper, now)
+            step = next_step(
+                keeper,
+                assignment,
+                self._context.daemon,
+                era,
+                self._context.lease,
+                keeper is not None and self._has_handed_over(keeper),
+            )
+            if step is KeeperStep.START:
+                started = ShardKeeper(assignment, self._context.settings, now)
+                self._keeper_by_shard[shard] = started
+                self._apply_handover(started, now)
+            elif keeper is not None and step is not KeeperStep.KEEP:
+                self._change_keeper(step, keeper, assignment)
+
+    def _change_keeper(
+        self, step: KeeperStep, keeper: ShardKeeper, assignment: KeeperAssignment
+    ) -> None:
+        """Stop keeping a shard, or go on in a new era of the store."""
+        extra = {"shard": assignment.shard, "epoch": assignment.epoch}
+        if step is KeeperStep.CLAIM_AGAIN:
+            keeper.claim_again(assignment)
+            _LOG.info("ShardConfirmed", extra=extra)
+            self._context.telemetry.note_event("ShardConfirmed")
+            return
+        del self._keeper_by_shard[assignment.shard]
+        if step is KeeperStep.STEP_DOWN:
+            self._step_down(keeper, assignment)
+        else:
+            _LOG.warning("KeeperUnconfirmed", extra=extra)
+            self._context.telemetry.note_event("KeeperUnconfirmed")
 
     async def request_share(self, request: ShareAsked) -> ShareGranted | None:
         """Request shares from the keeper of a team.
@@ -323,10 +337,6 @@
         has_handed_over = self._has_handed_over(keeper)
         return may_confirm(keeper, self._context.lease, has_handed_over)
 
-    def _may_keep_book(self, keeper: ShardKeeper, claimed: KeeperAssignment) -> bool:
-        has_handed_over = self._has_handed_over(keeper)
-        return may_keep_book(keeper, claimed, self._context.lease, has_handed_over)
-
     def _keeper_name_for_key(self, key: str) -> str | None:
         shards = self._context.settings.limits.shards
         return self._keeper_name_of_shard(shard_of(key, shards))
