--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -403,3 +403,55 @@
     delays = sorted(rewrite_delay(300, source) for _ in range(300))
     most = max(sum(t <= d < t + 0.5 for d in delays) for t in delays)
     assert most / 0.5 < 100
+
+
+OWN = DaemonId("vm-0", 1)
+OTHER = DaemonId("vm-1", 1)
+
+
+def make_granting_keeper(settings, clock):
+    """Return a lease, and a keeper that has begun to grant under it in era 1."""
+    lease = Lease(settings.lease, clock)
+    lease.renew(clock())
+    first = KeeperAssignment(SHARD, OWN, next_epoch(None, 1))
+    keeper = ShardKeeper(first, settings, clock())
+    assert keeper.phase is KeeperPhase.GRANTING
+    return lease, keeper
+
+
+def test_keeper_whose_lease_had_lapsed_starts_over_in_a_new_era(settings, clock):
+    """Another daemon may have granted since, and the store has lost its claim."""
+    lease, keeper = make_granting_keeper(settings, clock)
+    arguments = (keeper.assignment, OWN, 2, lease, False)
+    assert next_step(keeper, *arguments) is KeeperStep.KEEP
+    clock.advance(settings.lease.term_seconds + 0.1)
+    lease.renew(clock())
+    assert next_step(keeper, *arguments) is KeeperStep.DROP
+
+
+def test_keeper_goes_on_only_if_no_takeover_lies_between(settings, clock):
+    lease, keeper = make_granting_keeper(settings, clock)
+    own_claim = KeeperAssignment(SHARD, OWN, next_epoch(keeper.assignment, 2))
+    arguments = (OWN, 2, lease, False)
+    assert next_step(keeper, own_claim, *arguments) is KeeperStep.CLAIM_AGAIN
+    between = KeeperAssignment(SHARD, OTHER, next_epoch(keeper.assignment, 1))
+    later_claim = KeeperAssignment(SHARD, OWN, next_epoch(between, 2))
+    assert next_step(keeper, later_claim, *arguments) is KeeperStep.START
+    assert next_step(keeper, own_claim, OWN, 2, lease, True) is KeeperStep.START
+
+
+def test_claim_does_not_replace_a_takeover_that_the_claimant_missed():
+    first = KeeperAssignment(SHARD, OWN, next_epoch(None, 1))
+    missed = KeeperAssignment(SHARD, OTHER, next_epoch(first, 1))
+    claim = KeeperAssignment(SHARD, OWN, next_epoch(first, 2))
+    assert may_replace(claim, first)
+    assert not may_replace(claim, missed)
+    rival = KeeperAssignment(SHARD, OTHER, next_epoch(first, 2))
+    assert not may_replace(claim, rival)
+
+
+def test_restored_first_claim_grants_nothing_in_a_later_era(settings, clock):
+    """A first keeper begins with full bursts, and an earlier one may still grant."""
+    claim = KeeperAssignment(SHARD, OWN, next_epoch(None, 2))
+    keeper = ShardKeeper(claim, settings, clock())
+    assert keeper.phase is KeeperPhase.WAITING
