--- a/benchmarks/stop_soak/__main__.py
+++ b/benchmarks/stop_soak/__main__.py
@@ -35,7 +35,8 @@
     Args:
         seed: Seed of the callers, the targets and the trouble.
         seconds: Length of the play.
-        mode: `calm`, `overload`, `pipelined` or `kills`.
+        mode: `calm`, `overload`, `pipelined`, `kills`, `restorations` or
+            `restorations-kills`.
     """
     record = curio.run(play, PlaySettings(seed, MODE_BY_NAME[mode], seconds))
     cases = judge(record.calls, record.runs_by_request, record.times)
@@ -46,6 +47,7 @@
     stops = sum(map(len, record.times.stops_by_daemon.values()))
     print(f"seed {seed}, {mode}: {len(record.calls)} requests, {stops} stops,")
     print(f"  {len(record.times.overdue)} overdue, {len(record.times.kills)} kills,")
+    print(f"  {record.restorations} restorations of the store,")
     print(f"  answers {dict(answers)}, {broken} rules broken;")
     print(f"  logs in {record.logs}")
     sys.exit(1 if broken else 0)
--- a/benchmarks/stop_soak/play.py
+++ b/benchmarks/stop_soak/play.py
@@ -7,7 +7,7 @@
 import random
 import signal
 import time
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from functools import singledispatch
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -16,7 +16,14 @@
 
 from benchmarks.stop_soak.callers import Call, Caller
 from benchmarks.stop_soak.judge import GRACE_SECONDS, SignalTimes, TargetRun
-from benchmarks.stop_soak.trouble import Changed, Mode, Signalled, draw_schedule
+from benchmarks.stop_soak.trouble import (
+    Changed,
+    Mode,
+    Restored,
+    Signalled,
+    draw_schedule,
+)
+from bramleyglade_adapters.http.simple_client import SimpleClient
 from bramleyglade_adapters.store.http_store import HttpStore
 from bramleyglade_client.ticket_repository import TicketRepository
 from bramleyglade_core.decisions.admission import hash_key
@@ -32,6 +39,8 @@
 _WORK_SECONDS = 0.26
 _POLL_SECONDS = 0.02
 _RESTART_SECONDS = 0.4
+_REWRITE_SECONDS = 1.0
+"""Time after which operators write again what the store has lost."""
 _ZONES = ("zone-0", "zone-1", "zone-2")
 _ENTITIES: tuple[Entity, ...] = (
     *(Zone(zone, "region-1") for zone in _ZONES),
@@ -71,6 +80,9 @@
     times: SignalTimes = field(default_factory=SignalTimes)
     stop_by_daemon: dict[int, float] = field(default_factory=dict)
     """Time of the first SIGTERM of each daemon's process."""
+    tickets: list[Ticket] = field(default_factory=list)
+    """Tickets that the operators have applied, which they write again once lost."""
+    restorations: list[Restored] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +93,8 @@
     runs_by_request: dict[str, list[TargetRun]]
     times: SignalTimes
     logs: Path
+    restorations: int = 0
+    """How often the store came back from a copy."""
 
 
 class SoakFleet(ProcessFleet):
@@ -100,7 +114,10 @@
     """Play, then stop the fleet; its logs are kept."""
     port = settings.first_port
     zones = len(_ZONES)
-    plan = FleetPlan(settings.daemons, zones, ("catalogue",), port, 3, _DAEMON_SETTINGS)
+    era = 1 if settings.mode.has_restorations else 0
+    plan = FleetPlan(
+        settings.daemons, zones, ("catalogue",), port, 3, _DAEMON_SETTINGS, era
+    )
     fleet = SoakFleet(plan)
     store = HttpStore(fleet.store)
     stage = Stage(fleet, TicketRepository(store))
@@ -112,7 +129,9 @@
     finally:
         await store.close()
         fleet.stop()
-    return Record(calls, _read_runs(fleet.directory), stage.times, fleet.directory)
+    runs = _read_runs(fleet.directory)
+    restorations = len(stage.restorations)
+    return Record(calls, runs, stage.times, fleet.directory, restorations)
 
 
 async def _run(settings: PlaySettings, stage: Stage) -> list[Call]:
@@ -168,14 +187,35 @@
 
 @_apply.register
 async def _(trouble: Changed, stage: Stage) -> None:
-    while True:
-        try:
-            number = 1 + len(await stage.repository.tickets())
-            ticket = Ticket(number, "", trouble.entities, trouble.removed)
-            await stage.repository.apply(ticket)
-            return
-        except StoreError:  # The store is still starting.
-            await curio.sleep(_POLL_SECONDS)
+    number = 1 + len(stage.tickets)
+    stage.tickets.append(Ticket(number, "", trouble.entities, trouble.removed))
+    await _write_tickets(stage)
+
+
+@_apply.register
+async def _(trouble: Restored, stage: Stage) -> None:
+    stage.restorations.append(trouble)
+    body = json.dumps(asdict(trouble)).encode()
+    client = SimpleClient(stage.fleet.store)
+    await client.request("PUT", "/v1/restoration", body)
+    await client.close()
+    await curio.spawn(_write_lost_tickets, stage, trouble, daemon=True)
+
+
+async def _write_lost_tickets(stage: Stage, trouble: Restored) -> None:
+    await curio.sleep(trouble.outage_seconds + _REWRITE_SECONDS)
+    await _write_tickets(stage)
+
+
+async def _write_tickets(stage: Stage) -> None:
+    """Write all tickets that the store lacks, in their order."""
+    for ticket in list(stage.tickets):
+        while True:
+            try:
+                await stage.repository.apply(ticket)
+                break
+            except StoreError:  # The store is starting or away.
+                await curio.sleep(_POLL_SECONDS)
 
 
 async def _supervise(stage: Stage, index: int) -> None:
--- a/benchmarks/stop_soak/trouble.py
+++ b/benchmarks/stop_soak/trouble.py
@@ -27,6 +27,8 @@
     has_changes: bool = True
     """Whether SIGHUP, tickets and a zone taken out come with the stops."""
     has_kills: bool = False
+    has_restorations: bool = False
+    """Whether the store comes back from a copy that is some seconds old."""
 
 
 MODE_BY_NAME = {
@@ -34,6 +36,8 @@
     "overload": Mode(load=1.5),
     "pipelined": Mode(pair_share=0.7),
     "kills": Mode(load=0.8, has_kills=True),
+    "restorations": Mode(has_restorations=True),
+    "restorations-kills": Mode(load=0.8, has_kills=True, has_restorations=True),
 }
 
 
@@ -53,7 +57,15 @@
     removed: tuple[EntityKey, ...] = ()
 
 
-Trouble = Signalled | Changed
+@dataclass(frozen=True, slots=True)
+class Restored:
+    """The store comes back from a copy; operators then write their tickets again."""
+
+    lost_seconds: float
+    outage_seconds: float
+
+
+Trouble = Signalled | Changed | Restored
 Schedule = list[tuple[float, Trouble]]
 
 
@@ -84,6 +96,14 @@
     if mode.has_kills:
         for at in _times(5.0, end, random_source):
             schedule.append((at, Signalled(choose(daemons), SIGKILL)))
+    if mode.has_restorations:
+        for at in _times(8.0, end, random_source):
+            lost = random_source.uniform(0.2, 5.0)
+            outage = random_source.uniform(0.0, 2.0)
+            schedule.append((at, Restored(lost, outage)))
+            if random_source.random() < 0.3:
+                again = at + outage + random_source.uniform(0.1, 1.0)
+                schedule.append((again, Restored(lost, 0.1)))
     return sorted(schedule, key=lambda item: item[0])
 
 
--- a/packages/standins/src/bramleyglade_standins/processes.py
+++ b/packages/standins/src/bramleyglade_standins/processes.py
@@ -40,6 +40,8 @@
     slots: int = 4
     daemon_settings: dict[str, Any] | None = None
     """Additional settings, the same for all daemons."""
+    store_era: int = 0
+    """First era of the store; 0 for a store without eras."""
 
 
 class ProcessFleet:
@@ -73,7 +75,9 @@
 
     def start(self) -> None:
         """Start all processes."""
-        self.start_module("store", f"{_PACKAGE}.store_server", address=str(self.store))
+        era = str(self.plan.store_era)
+        module = f"{_PACKAGE}.store_server"
+        self.start_module("store", module, address=str(self.store), era=era)
         for index in range(self.plan.daemons):
             self.start_daemon(index)
         for index in range(self.plan.daemons):
