Count a lease that was extended regardless as a gap when an era begins

Under the policy to go on, a daemon that is cut off extends its lease while another one takes its shards over; after a restoration that loses the takeover both would have gone on. The new test fails without the change.

--- a/packages/core/src/bramleyglade_core/decisions/lease.py
+++ b/packages/core/src/bramleyglade_core/decisions/lease.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.model.settings import OutagePolicy
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -81,8 +83,18 @@
 
     @property
     def valid_since(self) -> float:
-        """Time since which it has held without a gap; infinite if it does not hold."""
-        return self._valid_since if self.is_valid else float("inf")
+        """Time since which no other daemon can have waited for its end.
+
+        Infinite if it does not hold. An extension counts if it proves that no majority
+        has reached the store; under the policy to go on regardless, it doesn't.
+        """
+        return self._valid_since if self._is_proven else float("inf")
+
+    @property
+    def _is_proven(self) -> bool:
+        if self._settings.outage is OutagePolicy.GO_ON:
+            return not self.is_extended
+        return self.is_valid
 
     @property
     def remaining_seconds(self) -> float:
@@ -100,10 +112,10 @@
         Args:
             asked_at: Time on this process's clock before the read, in seconds.
         """
-        was_valid = self.is_valid
+        was_proven = self._is_proven
         self._fresh_end = max(self._fresh_end, asked_at + self._settings.term_seconds)
         self._end = max(self._end, self._fresh_end)
-        self._note_begin(was_valid)
+        self._note_begin(was_proven)
 
     @property
     def fresh_seconds(self) -> float:
@@ -119,13 +131,13 @@
             seconds: Remaining seconds of the peer's lease when it answered.
             fresh_seconds: The part of them that rests on a read of the store.
         """
-        was_valid = self.is_valid
+        was_proven = self._is_proven
         term = self._settings.term_seconds
         self._end = max(self._end, asked_at + min(seconds, term))
         if fresh_seconds > 0:
             fresh_end = asked_at + min(fresh_seconds, term)
             self._fresh_end = max(self._fresh_end, fresh_end)
-        self._note_begin(was_valid)
+        self._note_begin(was_proven)
 
     def extend(self, asked_at: float) -> bool:
         """Extend the lease since a majority can't reach the store.
@@ -142,8 +154,8 @@
         self._end = max(self._end, asked_at + self._settings.term_seconds)
         return True
 
-    def _note_begin(self, was_valid: bool) -> None:
-        if not was_valid and self.is_valid:
+    def _note_begin(self, was_proven: bool) -> None:
+        if not was_proven and self._is_proven:
             self._valid_since = self._clock()
 
 
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -31,6 +31,7 @@
 from bramleyglade_core.model.announcements import KeeperAssignment
 from bramleyglade_core.model.entities import Team, Zone
 from bramleyglade_core.model.identifiers import DaemonId
+from bramleyglade_core.model.settings import OutagePolicy
 from bramleyglade_core.model.tickets import Ticket
 
 TICK_SECONDS = 0.1
@@ -429,6 +430,18 @@
     assert next_step(keeper, *arguments) is KeeperStep.DROP
 
 
+def test_lease_that_was_extended_regardless_proves_nothing(settings, clock):
+    """A daemon that is cut off extends it as well, while another one takes over."""
+    goes_on = replace(settings.lease, outage=OutagePolicy.GO_ON)
+    settings = replace(settings, lease=goes_on)
+    lease, keeper = make_granting_keeper(settings, clock)
+    clock.advance(settings.lease.term_seconds - 0.1)
+    lease.extend(clock())
+    clock.advance(0.2)
+    lease.renew(clock())
+    assert next_step(keeper, keeper.assignment, OWN, 2, lease, False) is KeeperStep.DROP
+
+
 def test_keeper_goes_on_only_if_no_takeover_lies_between(settings, clock):
     lease, keeper = make_granting_keeper(settings, clock)
     own_claim = KeeperAssignment(SHARD, OWN, next_epoch(keeper.assignment, 2))
