Derive incarnations from the stored one only if the clock lags; read late member lists again

With eras, the derived incarnation moved ahead of the clock at each restart, and two restarts in one era could repeat one in the next. An assignment of a later era than the store's stays in force, so that a store that stops telling eras doesn't orphan all shards.

--- a/packages/core/src/bramleyglade_core/decisions/store_era.py
+++ b/packages/core/src/bramleyglade_core/decisions/store_era.py
@@ -36,7 +36,7 @@
 own budget for writes is several times that."""
 
 _INCARNATION_STEP = 2**32
-"""Distance between incarnations that two eras may derive from one stored record."""
+"""Distance between incarnations that two eras derive from one stored record."""
 
 ZONE_HOLD_SECONDS = 30.0
 """Time from the begin of an era in which operators write again which zones are out."""
@@ -88,8 +88,9 @@
     Returns:
         An epoch above all known ones, which no claim of another era has.
     """
-    takeovers = current.takeover if current is not None else 0
-    return epoch_of(era, takeovers + 1)
+    if current is None:
+        return epoch_of(era, 1)
+    return epoch_of(max(era, current.era), current.takeover + 1)
 
 
 def is_in_force(assignment: KeeperAssignment, era: int) -> bool:
@@ -98,7 +99,7 @@
     One of an earlier era may have been superseded after the copy was made, so nobody
     becomes a keeper because of it.
     """
-    return assignment.era == era
+    return assignment.era >= era
 
 
 def may_replace(claim: KeeperAssignment, stored: KeeperAssignment) -> bool:
@@ -200,13 +201,24 @@
     return min(era * _OBSERVATIONS_PER_ERA + revision, MAX_TICKET_NUMBER)
 
 
-def incarnation_after(earlier: int, era: int) -> int:
+def incarnation_after(earlier: int, era: int, random_source: random.Random) -> int:
     """Return an incarnation above that of the newest record that the store has.
 
-    The store may have lost the record of a later process, which chose its incarnation
-    in an earlier era.
+    The store may have lost the records of later processes, whose incarnations were
+    derived from the same one in an earlier era.
+
+    Args:
+        earlier: Incarnation of the newest record.
+        era: Era of the store in which it was read.
+        random_source: Source of randomness; not used without eras.
     """
-    return earlier + 1 + era * _INCARNATION_STEP
+    if not era:
+        return earlier + 1
+    return (
+        earlier
+        + era * _INCARNATION_STEP
+        + random_source.randrange(1, _INCARNATION_STEP)
+    )
 
 
 class ZoneHold:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/member_store.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/member_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -137,10 +138,13 @@
                     self._context.discovered_at = self._context.clock()
                     pause = _SECOND_READ_SECONDS
                 else:
+                    is_new = True
                     has_links = bool(self._peers.open_links())
                     if self._is_reader() or not has_links:
-                        await self._read_all()
+                        is_new = await self._read_all()
                     pause = _STORE_PERIOD_SECONDS if has_links else _UNLINKED_SECONDS
+                    if not is_new:
+                        pause = _SECOND_READ_SECONDS
             except StoreError as error:
                 _LOG.info("MembersUnread", extra={"why": str(error)})
             pause *= self._context.random.uniform(0.8, 1.2)
@@ -227,22 +231,23 @@
             found += await store.list_some(MEMBER_PREFIX, MEMBER_PREFIX)
         await self._records.merge(read_members(Listing(found, 0)), source="")
 
-    async def _read_all(self) -> None:
+    async def _read_all(self) -> bool:
+        """Read all records that have changed; False if the list is of an old era."""
         listing = await self._context.store.list_changed(
             MEMBER_PREFIX, self._members_revision
         )
-        if listing.era < self._members_era:
+        if listing.era < max(self._members_era, self._context.view.era):
             _LOG.info("MembersOutdated", extra={"era": listing.era})
-            return
+            return False
         if listing.era > self._members_era and self._members_revision:
             self._members_era, self._members_revision = listing.era, 0
-            await self._read_all()
-            return
+            return await self._read_all()
         self._members_era, self._members_revision = listing.era, listing.revision
         records = read_members(listing)
         await self._records.merge(records, source="")
         if listing.era:
             await self._restore_ends(records)
+        return True
 
     async def _restore_ends(self, records: list[MemberRecord]) -> None:
         """Record again the end of daemons whose last record the store has lost."""
@@ -392,6 +397,6 @@
         A number above that of any earlier process that the store has a record of.
     """
     own_incarnation = new_incarnation()
-    if earlier is None:
+    if earlier is None or own_incarnation > earlier.daemon.incarnation:
         return own_incarnation
-    return max(own_incarnation, incarnation_after(earlier.daemon.incarnation, era))
+    return incarnation_after(earlier.daemon.incarnation, era, random.Random())
