Shorten the takeover of shards after a restoration once all members know of it

The store may have lost a takeover, so the predecessor's end proves nothing; but a member that has merged the new claim no longer grants. Members are asked with the existing BatchAsked.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -43,6 +43,7 @@
     ShareGranted,
     ShareRecalled,
 )
+from bramleyglade_daemon.fleet.era_survey import EraSurvey
 from bramleyglade_daemon.fleet.holdings_collector import HoldingsCollector, log_phase
 from bramleyglade_daemon.fleet.keeper_calls import ANSWER_TIMEOUT_SECONDS, KeeperCalls
 from bramleyglade_daemon.fleet.peers import expect
@@ -67,6 +68,9 @@
 _CLAIM_RETRY_SECONDS = 2.0
 """Least time between two claims of one shard, so that the first can take effect."""
 
+_SURVEY_PAUSE_SECONDS = 0.5
+"""Time between two surveys of whether all members know of claims in a new era."""
+
 _MAX_CLAIMS_PER_PERIOD = 8
 """Most claims written in one period, to limit the load on the store."""
 
@@ -91,6 +95,10 @@
         self._collector = HoldingsCollector(context, peers, self._report_holdings)
         self._pending_handovers: list[BookHandedOver] = []
         """Handovers of superseded keepers, not sent yet."""
+        self._reclaimed_epoch_by_shard: dict[int, int] = {}
+        """This daemon's claims of shards without a keeper in the store's era."""
+        self._survey = EraSurvey(context, peers)
+        self._next_survey_at = float("-inf")
         self._confirm_at = float("-inf")
         """Time from which this daemon claims its shards again in the store's era."""
         self._reclaim_at = float("-inf")
@@ -130,6 +138,7 @@
         }
         self._predecessor_by_shard.clear()
         self._claimed_at_by_shard.clear()
+        self._reclaimed_epoch_by_shard.clear()
         self.apply_assignments()
 
     def apply_assignments(self) -> None:
@@ -405,6 +414,38 @@
                 keeper.note_predecessor_ended(self._context.clock())
                 log_phase(keeper, before, self._context.clock())
             await self._collector.advance(keeper)
+        await self._survey_reclaimed()
+
+    async def _survey_reclaimed(self) -> None:
+        """Shorten the waits after claims of shards that no keeper claimed again.
+
+        The store may have lost a takeover, so that this daemon doesn't know which one
+        was the last keeper; but all members that know of the claim have stopped.
+        """
+        now = self._context.clock()
+        waiting = [
+            keeper
+            for shard, keeper in self._keeper_by_shard.items()
+            if keeper.phase is KeeperPhase.WAITING
+            and self._reclaimed_epoch_by_shard.get(shard) == keeper.assignment.epoch
+        ]
+        if waiting and now >= self._next_survey_at:
+            self._next_survey_at = float("inf")
+            await curio.spawn(self._advance_reclaimed, waiting, daemon=True)
+
+    async def _advance_reclaimed(self, waiting: list[ShardKeeper]) -> None:
+        try:
+            newest = max((k.assignment for k in waiting), key=lambda a: a.recency)
+            if not await self._survey.is_seen_by_all(newest):
+                return
+            now = self._context.clock()
+            self.apply_assignments()
+            for keeper in waiting:
+                if self._keeper_by_shard.get(keeper.assignment.shard) is keeper:
+                    keeper.note_predecessor_ended(now)
+                    log_phase(keeper, KeeperPhase.WAITING, now)
+        finally:
+            self._next_survey_at = self._context.clock() + _SURVEY_PAUSE_SECONDS
 
     def _report_holdings(self, shard: int) -> HoldingsTold | None:
         if self.on_holdings_asked is None:
@@ -425,6 +466,8 @@
         if current is not None and is_in_force(current, era):
             self._predecessor_by_shard[shard] = current.keeper
         epoch = next_epoch(current, era)
+        if era and (current is None or not is_in_force(current, era)):
+            self._reclaimed_epoch_by_shard[shard] = epoch
         assignment = KeeperAssignment(shard, self._context.daemon, epoch)
         await self._write(assignment, current)
         extra: dict[str, object] = {"shard": shard, "epoch": epoch}
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -31,6 +31,7 @@
     SightTold,
 )
 from bramleyglade_core.model.settings import OutagePolicy
+from bramleyglade_daemon.fleet.era_survey import NOTHING_AFTER
 from bramleyglade_daemon.fleet.gather import gather
 from bramleyglade_daemon.fleet.peers import expect
 
@@ -57,9 +58,6 @@
 
 _FIRST_EVIDENCE_POLL_SECONDS = 0.1
 
-_NOTHING_AFTER = 2**62
-"""A revision that no store reaches; asked for, a peer tells only how far it is."""
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -366,7 +364,7 @@
         self._compared_era_by_peer[peer.name] = (peer, era)
         own = self._context.configuration
         try:
-            request = BatchAsked(_NOTHING_AFTER if own.state_by_key else 0)
+            request = BatchAsked(NOTHING_AFTER if own.state_by_key else 0)
             answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
             told = expect(answer, BatchTold)
             if request.after and told.whole_ticket > own.whole_ticket:
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -78,6 +78,7 @@
         self.lease = Lease(fleet.settings.lease, fleet.clock)
         self.keeper = None
         self.predecessor = None
+        self.reclaimed_epoch = None
         self.handovers = []
 
     def step(self):
@@ -120,6 +121,9 @@
             return
         if self.predecessor is not None and self.fleet.has_ended(self.predecessor):
             self.keeper.note_predecessor_ended(now)
+        if self.reclaimed_epoch == self.keeper.assignment.epoch:
+            if self.fleet.is_seen_by_all(self, self.keeper.assignment):
+                self.keeper.note_predecessor_ended(now)
         if self.keeper.phase is KeeperPhase.WAITING:
             self.keeper.confirm({}, now)
         self.keeper.apply_reports((), (), now)
@@ -138,7 +142,7 @@
 
     def enter(self, era):
         if self.view.enter_era(era, self.fleet.clock()):
-            self.predecessor = None
+            self.predecessor = self.reclaimed_epoch = None
             self.handovers = []
             self.step()
 
@@ -177,6 +181,15 @@
     def has_ended(self, daemon):
         return daemon not in [d.id for d in self.daemons]
 
+    def is_seen_by_all(self, asking, newest):
+        if self.cut_off:
+            return False
+        return all(
+            d is asking
+            or (d.view.era, d.view.revision) >= (newest.era, newest.revision)
+            for d in self.daemons
+        )
+
     def send(self, receiver, handover):
         def deliver():
             for daemon in self.daemons:
@@ -225,6 +238,7 @@
                 daemon, lambda: self._write(claim, current.revision), lambda _: None
             )
         else:
+            daemon.reclaimed_epoch = claim.epoch
             self._call(
                 daemon,
                 self.store.assignment,
