--- a/benchmarks/stop_soak/play.py
+++ b/benchmarks/stop_soak/play.py
@@ -28,7 +28,7 @@
 from bramleyglade_client.ticket_repository import TicketRepository
 from bramleyglade_core.decisions.admission import hash_key
 from bramleyglade_core.model.entities import Route, Service, Team, Zone
-from bramleyglade_core.model.errors import StoreError
+from bramleyglade_core.model.errors import BadInput, StoreError
 from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_standins.processes import FleetPlan, ProcessFleet
 
@@ -216,6 +216,9 @@
                 break
             except StoreError:  # The store is starting or away.
                 await curio.sleep(_POLL_SECONDS)
+            except BadInput:
+                # Lost while later tickets were written, one of which replaces it.
+                break
 
 
 async def _supervise(stage: Stage, index: int) -> None:
