--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -80,7 +80,12 @@
 }
 
 struct HelloSaid { version @0 :UInt32; daemon @1 :DaemonId; record @2 :MemberRecord; }
-struct HeartbeatSent { revision @0 :UInt64; membersDigest @1 :UInt64; }
+struct HeartbeatSent {
+  revision @0 :UInt64;
+  membersDigest @1 :UInt64;
+  reserved2 @2 :Void;
+  era @3 :UInt32;
+}
 
 struct HeartbeatAnswered {
   revision @0 :UInt64;
@@ -90,6 +95,8 @@
   views @4 :List(TargetViewTold);
   loads @5 :List(ServiceLoadTold);
   zones @6 :ZonesTold;
+  reserved7 @7 :Void;
+  era @8 :UInt32;
 }
 
 struct ServiceDemandTold { service @0 :Text; perSecond @1 :Float32; }
@@ -146,6 +153,7 @@
   states @2 :Data;
   assignments @3 :Data;
   wholeTicket @4 :UInt64;
+  era @5 :UInt32;
 }
 
 struct RecordsAsked { digests @0 :List(UInt64); }  # Empty for all records.
--- a/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/keepers.py
@@ -7,13 +7,34 @@
 
 import curio
 
-from bramleyglade_adapters.store.shared_objects import keeper_key
+from bramleyglade_adapters.store.shared_objects import keeper_key, read_assignment
 from bramleyglade_adapters.structure import to_json
 from bramleyglade_core.decisions.rendezvous import rank, shard_of, winner
 from bramleyglade_core.decisions.shard_keeper import KeeperPhase, ShardKeeper
-from bramleyglade_core.model.announcements import DaemonPhase, KeeperAssignment
+from bramleyglade_core.decisions.store_era import (
+    CONFIRM_SECONDS,
+    EraChange,
+    KeeperStep,
+    is_in_force,
+    may_confirm,
+    may_replace,
+    next_epoch,
+    next_step,
+    rewrite_delay,
+    spread_seconds,
+)
+from bramleyglade_core.model.announcements import (
+    DaemonPhase,
+    KeeperAssignment,
+    era_of_epoch,
+)
 from bramleyglade_core.model.ejections import EjectionAsked, EjectionTold
-from bramleyglade_core.model.errors import FleetError, StoreError
+from bramleyglade_core.model.errors import (
+    BadInput,
+    FleetError,
+    StoreError,
+    VersionConflict,
+)
 from bramleyglade_core.model.settings import OutagePolicy
 from bramleyglade_core.model.shares import (
     BookHandedOver,
@@ -22,6 +43,7 @@
     ShareGranted,
     ShareRecalled,
 )
+from bramleyglade_daemon.fleet.era_survey import EraSurvey
 from bramleyglade_daemon.fleet.holdings_collector import HoldingsCollector, log_phase
 from bramleyglade_daemon.fleet.keeper_calls import ANSWER_TIMEOUT_SECONDS, KeeperCalls
 from bramleyglade_daemon.fleet.peers import expect
@@ -46,6 +68,9 @@
 _CLAIM_RETRY_SECONDS = 2.0
 """Least time between two claims of one shard, so that the first can take effect."""
 
+_SURVEY_PAUSE_SECONDS = 0.5
+"""Time between two surveys of whether all members know of claims in a new era."""
+
 _MAX_CLAIMS_PER_PERIOD = 8
 """Most claims written in one period, to limit the load on the store."""
 
@@ -70,6 +95,14 @@
         self._collector = HoldingsCollector(context, peers, self._report_holdings)
         self._pending_handovers: list[BookHandedOver] = []
         """Handovers of superseded keepers, not sent yet."""
+        self._reclaimed_epoch_by_shard: dict[int, int] = {}
+        """This daemon's claims of shards without a keeper in the store's era."""
+        self._survey = EraSurvey(context, peers)
+        self._next_survey_at = float("-inf")
+        self._confirm_at = float("-inf")
+        """Time from which this daemon claims its shards again in the store's era."""
+        self._reclaim_at = float("-inf")
+        """Time from which it claims shards of others that have not done so."""
         self.calls = KeeperCalls(context, peers)
         self.on_holdings_asked: Callable[[int], HoldingsTold] | None = None
         """Called with a shard; returns what this daemon holds of its teams."""
@@ -89,19 +122,62 @@
             jitter = self._context.random.uniform(0.8, 1.2)
             await curio.sleep(_PERIOD_SECONDS * jitter)
 
+    async def note_era(self, change: EraChange) -> None:
+        """Forget what was known of takeovers, since claims may have been lost.
+
+        Keepers that are sure to be the only ones claim their shards again.
+        """
+        now = self._context.clock()
+        shards = self._context.settings.limits.shards
+        self._confirm_at = now + rewrite_delay(shards, self._context.random)
+        self._reclaim_at = now + spread_seconds(shards) + CONFIRM_SECONDS
+        self._handover_by_shard = {
+            shard: handover
+            for shard, handover in self._handover_by_shard.items()
+            if era_of_epoch(handover.epoch) >= change.after[0]
+        }
+        self._predecessor_by_shard.clear()
+        self._claimed_at_by_shard.clear()
+        self._reclaimed_epoch_by_shard.clear()
+        self.apply_assignments()
+
     def apply_assignments(self) -> None:
         """Start and stop keeping shards to match the assignments in force."""
         now = self._context.clock()
+        era = self._context.view.era
         for shard, assignment in self._context.view.assignment_by_shard.items():
             keeper = self._keeper_by_shard.get(shard)
-            if assignment.keeper != self._context.daemon:
-                if keeper is not None:
-                    del self._keeper_by_shard[shard]
-                    self._step_down(keeper, assignment)
-            elif keeper is None or keeper.assignment.epoch != assignment.epoch:
-                keeper = ShardKeeper(assignment, self._context.settings, now)
-                self._keeper_by_shard[shard] = keeper
-                self._apply_handover(keeper, now)
+            step = next_step(
+                keeper,
+                assignment,
+                self._context.daemon,
+                era,
+                self._context.lease,
+                keeper is not None and self._has_handed_over(keeper),
+            )
+            if step is KeeperStep.START:
+                started = ShardKeeper(assignment, self._context.settings, now)
+                self._keeper_by_shard[shard] = started
+                self._apply_handover(started, now)
+            elif keeper is not None and step is not KeeperStep.KEEP:
+                self._change_keeper(step, keeper, assignment)
+
+    def _change_keeper(
+        self, step: KeeperStep, keeper: ShardKeeper, assignment: KeeperAssignment
+    ) -> None:
+        """Stop keeping a shard, or go on in a new era of the store."""
+        extra = {"shard": assignment.shard, "epoch": assignment.epoch}
+        if step is KeeperStep.CLAIM_AGAIN:
+            keeper.claim_again(assignment)
+            _LOG.info("ShardConfirmed", extra=extra)
+            self._context.telemetry.note_event("ShardConfirmed")
+            return
+        del self._keeper_by_shard[assignment.shard]
+        if step is KeeperStep.STEP_DOWN:
+            self._step_down(keeper, assignment)
+        else:
+            _LOG.warning("KeeperUnconfirmed", extra=extra)
+            self._context.telemetry.note_event("KeeperUnconfirmed")
 
     async def request_share(self, request: ShareAsked) -> ShareGranted | None:
         """Request shares from the keeper of a team.
@@ -197,6 +273,8 @@
         """Hand each shard over to a successor, as this daemon leaves."""
         serving = self._context.directory.serving_names()
         others = [name for name in serving if name != self._context.settings.name]
+        if self._context.view.era:
+            self.apply_assignments()
         granting = [
             keeper
             for keeper in self._keeper_by_shard.values()
@@ -227,6 +305,8 @@
         """
         extra = {"shard": assignment.shard, "keeper": assignment.keeper.name}
         _LOG.warning("KeeperSuperseded", extra=extra)
+        if keeper.assignment.era < assignment.era and not self._may_confirm(keeper):
+            return  # Another daemon may have granted since; the store has lost that.
         if keeper.phase is KeeperPhase.GRANTING:
             self._pending_handovers.append(keeper.hand_over(assignment))
 
@@ -262,6 +342,10 @@
         epoch = self._epoch_by_handed_over_shard.get(assignment.shard)
         return epoch == assignment.epoch
 
+    def _may_confirm(self, keeper: ShardKeeper) -> bool:
+        has_handed_over = self._has_handed_over(keeper)
+        return may_confirm(keeper, self._context.lease, has_handed_over)
+
     def _keeper_name_for_key(self, key: str) -> str | None:
         shards = self._context.settings.limits.shards
         return self._keeper_name_of_shard(shard_of(key, shards))
@@ -298,15 +382,29 @@
             assignment = self._context.view.assignment_by_shard.get(shard)
             if assignment is None and not is_settled:
                 continue
-            if assignment is not None and self._is_keeper_live(shard, assignment, now):
+            if assignment is not None and not is_in_force(
+                assignment, self._context.view.era
+            ):
+                if shard in self._keeper_by_shard:
+                    if now >= self._confirm_at and self._may_claim_now(shard, now):
+                        orphans.append(shard)
+                    continue
+                if now < self._reclaim_at:
+                    continue
+            elif assignment is not None and self._is_keeper_live(
+                shard, assignment, now
+            ):
                 continue
-            claimed_at = self._claimed_at_by_shard.get(shard, float("-inf"))
-            if now - claimed_at < _CLAIM_RETRY_SECONDS:
+            if not self._may_claim_now(shard, now):
                 continue
             if winner(f"shard/{shard}", serving) == self._context.settings.name:
                 orphans.append(shard)
         return orphans
 
+    def _may_claim_now(self, shard: int, now: float) -> bool:
+        claimed_at = self._claimed_at_by_shard.get(shard, float("-inf"))
+        return now - claimed_at >= _CLAIM_RETRY_SECONDS
+
     async def _collect_reports(self) -> None:
         """Shorten the waits of new keepers by querying every daemon's holdings."""
         for shard, keeper in list(self._keeper_by_shard.items()):
@@ -316,6 +414,38 @@
                 keeper.note_predecessor_ended(self._context.clock())
                 log_phase(keeper, before, self._context.clock())
             await self._collector.advance(keeper)
+        await self._survey_reclaimed()
+
+    async def _survey_reclaimed(self) -> None:
+        """Shorten the waits after claims of shards that no keeper claimed again.
+
+        The store may have lost a takeover, so that this daemon doesn't know which one
+        was the last keeper; but all members that know of the claim have stopped.
+        """
+        now = self._context.clock()
+        waiting = [
+            keeper
+            for shard, keeper in self._keeper_by_shard.items()
+            if keeper.phase is KeeperPhase.WAITING
+            and self._reclaimed_epoch_by_shard.get(shard) == keeper.assignment.epoch
+        ]
+        if waiting and now >= self._next_survey_at:
+            self._next_survey_at = float("inf")
+            await curio.spawn(self._advance_reclaimed, waiting, daemon=True)
+
+    async def _advance_reclaimed(self, waiting: list[ShardKeeper]) -> None:
+        try:
+            newest = max((k.assignment for k in waiting), key=lambda a: a.recency)
+            if not await self._survey.is_seen_by_all(newest):
+                return
+            now = self._context.clock()
+            self.apply_assignments()
+            for keeper in waiting:
+                if self._keeper_by_shard.get(keeper.assignment.shard) is keeper:
+                    keeper.note_predecessor_ended(now)
+                    log_phase(keeper, KeeperPhase.WAITING, now)
+        finally:
+            self._next_survey_at = self._context.clock() + _SURVEY_PAUSE_SECONDS
 
     def _report_holdings(self, shard: int) -> HoldingsTold | None:
         if self.on_holdings_asked is None:
@@ -332,9 +462,12 @@
         return record.daemon == daemon and record.phase is DaemonPhase.GONE
 
     async def _claim(self, shard: int, current: KeeperAssignment | None) -> None:
-        if current is not None:
+        era = self._context.view.era
+        if current is not None and is_in_force(current, era):
             self._predecessor_by_shard[shard] = current.keeper
-        epoch = current.epoch + 1 if current is not None else 1
+        epoch = next_epoch(current, era)
+        if era and (current is None or not is_in_force(current, era)):
+            self._reclaimed_epoch_by_shard[shard] = epoch
         assignment = KeeperAssignment(shard, self._context.daemon, epoch)
         await self._write(assignment, current)
         extra: dict[str, object] = {"shard": shard, "epoch": epoch}
@@ -347,18 +480,41 @@
         self, assignment: KeeperAssignment, current: KeeperAssignment | None
     ) -> None:
         """Try to write an assignment; the shared view shows whether it took effect."""
-        key = keeper_key(assignment.shard)
+        key, value = keeper_key(assignment.shard), to_json(assignment)
+        store, era = self._context.store, self._context.view.era
         try:
-            if current is None:
-                await self._context.store.create(key, to_json(assignment))
-            else:
-                value = to_json(assignment)
-                await self._context.store.update(key, value, current.revision)
-        except StoreError as error:
+            if current is not None and is_in_force(current, era):
+                await self._replace(key, assignment, current, era)
+            elif current is None or (stored := await store.read(key)) is None:
+                await store.create(key, value, era or None)
+            elif may_replace(assignment, read_assignment(stored)):
+                await store.update(key, value, stored.revision, stored.era)
+        except (StoreError, BadInput) as error:
             _LOG.info(
                 "ClaimFailed", extra={"shard": assignment.shard, "why": str(error)}
             )
 
+    async def _replace(
+        self, key: str, claim: KeeperAssignment, current: KeeperAssignment, era: int
+    ) -> None:
+        """Replace an assignment that is in force.
+
+        A daemon that did not know of the new era yet may have overwritten it, if the
+        revisions happened to match; what it wrote never came into force.
+
+        Raises:
+            StoreError: If the claim has not been written.
+            BadInput: If the stored assignment is malformed.
+        """
+        store, value = self._context.store, to_json(claim)
+        try:
+            await store.update(key, value, current.revision, era or None)
+        except VersionConflict:
+            stored = await store.read(key) if era else None
+            if stored is None or read_assignment(stored).era >= era:
+                raise
+            await store.update(key, value, stored.revision, stored.era)
+
     async def _confirm_keepers(self) -> None:
         """Let waiting keepers proceed if a majority has reached the store.
 
@@ -400,7 +556,8 @@
 
     async def _hand_over(self, keeper: ShardKeeper, successor: DaemonId) -> None:
         shard = keeper.assignment.shard
-        assignment = KeeperAssignment(shard, successor, keeper.assignment.epoch + 1)
+        epoch = next_epoch(keeper.assignment, self._context.view.era)
+        assignment = KeeperAssignment(shard, successor, epoch)
         try:
             handover = keeper.hand_over(assignment)
             await self._peers.call(successor.name, handover, ANSWER_TIMEOUT_SECONDS)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -98,7 +98,7 @@
 
     @_handle.register
     async def _(self, message: HeartbeatSent, link: Link, stream: int) -> None:
-        self._context.view.note_revision(message.revision)
+        await self._shared.note_revision(link, message.revision, message.era)
         lease = self._context.lease
         answer = HeartbeatAnswered(
             revision=self._context.view.revision,
@@ -110,6 +110,7 @@
             zones=self._context.zone_loads.report_for(
                 link.peer_name, self._context.clock()
             ),
+            era=self._context.view.era,
         )
         await self._send_answer(link, stream, answer)
 
