Count answers by their bytes, forget old loads, and move nothing between full regions

A front gets no views of targets that it sends nothing to, so a zone that was full when requests last went there counted as full for good. Reported loads older than 3 s now decay. Regions whose demand is above their capacity exchange nothing, as nobody would be served by it. Targets that are due are reached by their own zone first, and by another region only once they are overdue for 0.2 s. The expected size of an answer, learned by route, counts like that of the body.

--- a/packages/adapters/src/bramleyglade_adapters/telemetry.py
+++ b/packages/adapters/src/bramleyglade_adapters/telemetry.py
@@ -61,9 +61,9 @@
         self._count_by_labels: Counter[tuple[Label, ...]] = Counter()
         meter.create_observable_counter(name, [self._observe])
 
-    def add(self, *labels: Label) -> None:
-        """Count one event with these labels."""
-        self._count_by_labels[labels] += 1
+    def add(self, *labels: Label, count: int = 1) -> None:
+        """Count one event with these labels, or more."""
+        self._count_by_labels[labels] += count
 
     def _observe(self, _: CallbackOptions) -> Iterator[Observation]:
         for labels, count in list(self._count_by_labels.items()):
@@ -90,6 +90,7 @@
         self._attempts = EventCounter(self._meter, "bramleyglade.attempts")
         self._events = EventCounter(self._meter, "bramleyglade.events")
         self._zones = EventCounter(self._meter, "bramleyglade.zone.attempts")
+        self._zone_bytes = EventCounter(self._meter, "bramleyglade.zone.bytes")
 
     @cached_property
     def _front_latency(self) -> Histogram:
@@ -118,6 +119,10 @@
         """Count an attempt by the zone that it goes to, and why it goes there."""
         self._zones.add(("service", service), ("zone", zone), ("reason", reason))
 
+    def note_zone_bytes(self, service: str, zone: str, size: int) -> None:
+        """Count the bytes of the bodies of a request and its answer by the zone."""
+        self._zone_bytes.add(("service", service), ("zone", zone), count=size)
+
     def note_idle(self, service: str, seconds: float) -> None:
         """Record the time between two requests to a target."""
         attributes = {"service": service}
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -32,6 +32,9 @@
 _BODY_BYTES_PER_SECOND = 150_000.0
 """Rate at which a body crosses a link between zones or regions that many share."""
 
+_BODY_WAIT_SHARE = 1 / 4
+"""Longest additional wait for a body, as a part of the latency objective."""
+
 _LARGE_BODY_BYTES = 16_384
 """Size from which a request leaves its region last."""
 
@@ -48,6 +51,17 @@
 """Time constant of the exponential decay of a reported latency to the typical one; slow
 spells typically last six to nine seconds."""
 
+_FRESH_LOAD_SECONDS = 3.0
+"""Age up to which a reported load counts in full; targets that a front has sent no
+request for longer report to it no more."""
+
+_LOAD_DECAY_SECONDS = 5.0
+"""Time constant of the exponential decay of an older one."""
+
+_FAR_DUE_SECONDS = 0.2
+"""Time for which the fronts of its own region may reach a target that is overdue before
+those of other regions do."""
+
 _DEFAULT_LATENCY_SECONDS = 1.0
 """Latency assumed for a service without reports. It is long enough that a request goes
 to another zone rather than queue behind two others in its own."""
@@ -120,6 +134,13 @@
     received_at: float = 0.0
     """Time of receipt by this process's clock, in seconds."""
 
+    def busy_now(self, now: float) -> float:
+        """Return the load that still counts, in requests running or queued."""
+        age = now - self.received_at
+        if age <= _FRESH_LOAD_SECONDS:
+            return self.busy
+        return self.busy * math.exp((_FRESH_LOAD_SECONDS - age) / _LOAD_DECAY_SECONDS)
+
     def remaining_wait(self, now: float) -> float:
         """Return the part of that wait that is left, in seconds."""
         # A pick may have begun before the view of a target on the same VM was taken.
@@ -141,7 +162,7 @@
     If not, this holds only for targets that are overdue and not ejected.
     """
     body_bytes: int = 0
-    """Size of the body, or an estimate of it."""
+    """Size of the bodies of the request and of its answer, or an estimate of it."""
     objective_seconds: float | None = None
     """Latency objective, or the time left if that is less; None without one."""
 
@@ -349,7 +370,8 @@
             and c.target not in tried
             and self._is_due(c, options)
         ]
-        return self._random.choice(due) if due else None
+        own = [c for c in due if c.zone == self._zone]
+        return self._random.choice(own or due) if due else None
 
     def _is_due(self, candidate: Candidate, options: PickOptions) -> bool:
         view = self.view_by_target[candidate.target]
@@ -358,7 +380,9 @@
         if self._is_avoided(candidate.target, options.now):
             return False
         if not self._is_near(candidate) and not (
-            view.is_overdue and options.body_bytes < _LARGE_BODY_BYTES
+            view.is_overdue
+            and options.now - view.received_at >= _FAR_DUE_SECONDS
+            and options.body_bytes < _LARGE_BODY_BYTES
         ):
             return False
         if not options.may_probe and (view.is_ejected or not view.is_overdue):
@@ -394,7 +418,7 @@
             return in_flight < candidate.announcement.slots
         if view.remaining_wait(now) > 0:
             return False
-        return max(in_flight, view.busy) < view.limit
+        return max(in_flight, view.busy_now(now)) < view.limit
 
     def _tiers(
         self, candidates: Sequence[Candidate], drawn: str, options: PickOptions
@@ -413,7 +437,9 @@
         objective = options.objective_seconds
         if objective is None:
             objective = DEFAULT_OBJECTIVE_SECONDS
-        body_seconds = options.body_bytes / _BODY_BYTES_PER_SECOND
+        body_seconds = min(
+            options.body_bytes / _BODY_BYTES_PER_SECOND, _BODY_WAIT_SHARE * objective
+        )
         if groups.near:
             yield groups.near, ZONE_WAIT_SHARE * objective + body_seconds
         if groups.far:
@@ -577,7 +603,7 @@
             weight = math.exp(-(now - view.received_at) / _LATENCY_DECAY_SECONDS)
             latency += (math.exp(view.log_latency) - typical) * weight
         limit = max(1, view.limit)
-        busy = max(in_flight, view.busy)
+        busy = max(in_flight, view.busy_now(now))
         wait_seconds = _wait_seconds(view, in_flight, latency, now)
         return latency + wait_seconds + _FULL_LOAD_COST_SECONDS * min(1.0, busy / limit)
 
@@ -596,7 +622,7 @@
 ) -> float:
     """Return the expected wait for a slot of a target, in seconds."""
     limit = max(1, view.limit)
-    busy = max(in_flight, view.busy)
+    busy = max(in_flight, view.busy_now(now))
     queue_seconds = max(0, busy + 1 - limit) / limit * latency
     return max(queue_seconds, view.remaining_wait(now))
 
--- a/packages/core/src/bramleyglade_core/decisions/zone_balance.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_balance.py
@@ -219,15 +219,17 @@
         total_level += level
     if len(regions) > 1 and total_level > _LEAST_RATE:
         scale = max(1.0, total_demand / total_level)
+        # Above their capacity, regions gain nothing from an equal level.
         left = [
-            scale * level - region.demand
+            min(scale * level, max(level, region.capacity)) - region.demand
             for region, level in zip(regions, levels, strict=True)
         ]
         spare = sum([rate for rate in left if rate > 0])
-        leaving = -sum([rate for rate in left if rate < 0])
-        if leaving > 0 and spare > _LEAST_RATE:
+        surplus = -sum([rate for rate in left if rate < 0])
+        moved = min(surplus, spare)
+        if moved > _LEAST_RATE:
             for region, part in zip(regions, left, strict=True):
-                region.fill += part if part < 0 else leaving * part / spare
+                region.fill += moved * part / (surplus if part < 0 else spare)
     for region in regions:
         if region.fill > region.zone_level > _LEAST_RATE:
             region.scale = region.fill / region.zone_level
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -8,6 +8,7 @@
 
 from bramleyglade_adapters.clocks import boot_clock
 from bramleyglade_adapters.http.fleet_dialect import FleetDialect
+from bramleyglade_core.decisions.answer_sizes import AnswerSizes
 from bramleyglade_core.decisions.directory import Directory
 from bramleyglade_core.decisions.lease import Lease, StoreContact
 from bramleyglade_core.decisions.picker import Picker
@@ -68,6 +69,7 @@
         self.retry_budgets = RetryBudgets(settings.front, clock())
         self.splitter = Splitter(self.random)
         self.zone_loads = ZoneLoads(settings.zone)
+        self.answer_sizes = AnswerSizes()
         self.dialect: Dialect = dialect or FleetDialect(settings.front)
         self.phase = DaemonPhase.SERVING
         self.stop_schedule: StopSchedule | None = None
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -14,6 +14,8 @@
 from bramleyglade_core.decisions.retry_budget import may_retry
 from bramleyglade_core.model.errors import AttemptError, ErrorCode, FleetError
 from bramleyglade_core.model.exchange import (
+    AnswerContinued,
+    AnswerEnded,
     AnswerEvent,
     AnswerStarted,
     AttemptFailed,
@@ -104,6 +106,8 @@
         self._tried: set[TargetId] = set()
         self._candidate: Candidate | None = None
         """Target of the attempt that was made last."""
+        self._answer_bytes = 0
+        """Size of the answer's body as far as it was received."""
         self._upload: curio.Task | None = None
         self._open = OpenAttempts(self._context.picker, self._note_set_aside_failure)
         self.fallback_answer: BufferedAnswer | None = None
@@ -134,6 +138,7 @@
             return
         candidate = pick.candidate
         self._candidate = candidate
+        self._answer_bytes = 0
         self._tried.add(candidate.target)
         self._context.picker.note_sent(candidate.target)
         self._log.note_attempt(candidate.target)
@@ -161,8 +166,22 @@
         """Wait for the next part of the current attempt's answer."""
         assert self.stream is not None
         if self.stream.has_more:
-            return await self.stream.receive()
-        return await self._receive_in_time(self.stream.receive)
+            event = await self.stream.receive()
+        else:
+            event = await self._receive_in_time(self.stream.receive)
+        if isinstance(event, AnswerContinued):
+            self._answer_bytes += len(event.data)
+        elif isinstance(event, AnswerEnded):
+            self._note_answer_size()
+        return event
+
+    def _note_answer_size(self) -> None:
+        self._context.answer_sizes.note(self._request.route.name, self._answer_bytes)
+        if self._open.current is not None:
+            size = self._answer_bytes + (self._request.head.content_length or 0)
+            self._context.telemetry.note_zone_bytes(
+                self._request.service.name, self._open.current.candidate.zone, size
+            )
 
     async def receive_head(self) -> AnswerEvent:
         """Wait for the head of an answer, with a timeout for idempotent requests.
@@ -435,7 +454,8 @@
             now=self._context.clock(),
             is_retryable=is_retryable,
             may_probe=is_retryable and self._count == 0,
-            body_bytes=_ASSUMED_BODY_BYTES if stated is None else stated,
+            body_bytes=(_ASSUMED_BODY_BYTES if stated is None else stated)
+            + self._context.answer_sizes.expected(self._request.route.name),
             objective_seconds=self._longest_wait_seconds(),
         )
         self._dispatcher.refresh_local_views()
