--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -32,7 +32,7 @@
 _BODY_BYTES_PER_SECOND = 150_000.0
 """Rate at which a body crosses a link between zones or regions that many share."""
 
-_BODY_WAIT_SHARE = 1 / 4
+_BODY_WAIT_SHARE = 3 / 8
 """Longest additional wait for a body, as a part of the latency objective."""
 
 _LARGE_BODY_BYTES = 16_384
--- a/packages/core/src/bramleyglade_core/decisions/zone_balance.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_balance.py
@@ -12,10 +12,10 @@
 
 _NO_EXTRA: Mapping[str, float] = {}
 
-ZONE_WAIT_SHARE = 1 / 8
+ZONE_WAIT_SHARE = 1 / 16
 """Part of the latency objective that a request may wait before it leaves its zone."""
 
-REGION_WAIT_SHARE = 1 / 2
+REGION_WAIT_SHARE = 1 / 8
 """Part of the latency objective that a request may wait before it leaves its region."""
 
 DEFAULT_OBJECTIVE_SECONDS = 1.0
@@ -30,8 +30,8 @@
 _LEAST_LEVEL = 0.5
 """Utilization up to which a zone or region keeps its requests, however small it is."""
 
-_MAX_ZONE_LEVEL = 0.85
-_MAX_REGION_LEVEL = 0.95
+_MAX_ZONE_LEVEL = 0.75
+_MAX_REGION_LEVEL = 0.85
 """Utilization above which a region never keeps requests that another has capacity for.
 
 More than a zone's, as zones are balanced within the region first."""
@@ -41,7 +41,7 @@
 _LEAST_RATE = 1e-6
 """Rate in requests per second that counts as none."""
 
-_GAIN = 0.5
+_GAIN = 0.7
 """Part of the distance to the computed shares that one update covers."""
 
 _MIN_SHARE = 0.005
--- a/packages/core/src/bramleyglade_core/decisions/zone_loads.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_loads.py
@@ -23,7 +23,7 @@
     from bramleyglade_core.decisions.picker import TargetView
     from bramleyglade_core.model.identifiers import TargetId
 
-_DEMAND_SECONDS = 3.0
+_DEMAND_SECONDS = 2.0
 """Time constant of the exponential average of the rate of arrivals."""
 
 _LEAST_DEMAND = 0.01
@@ -35,7 +35,7 @@
 _MAX_LOADS_TOLD = 256
 """Loads in one message to a neighbour; all others follow in the next ones."""
 
-_BLEND_SECONDS = 2.0
+_BLEND_SECONDS = 1.0
 """Time constant over which loads measured by several daemons are averaged."""
 
 _LEAST_NEWER_SECONDS = 0.25
