--- a/packages/core/src/bramleyglade_core/decisions/zone_loads.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_loads.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Container, Sequence
 
     from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.decisions.directory import Candidate
@@ -106,6 +106,8 @@
 
     def __init__(self, home: str) -> None:
         self._home = home
+        self.is_active = False
+        """Whether there is more than one zone, so that peers get reports."""
         self._meter_by_service: dict[str, RateMeter] = {}
         self._demand_by_peer: dict[str, _PeerDemand] = {}
         self._load_by_key: dict[tuple[str, str], _KnownLoad] = {}
@@ -151,6 +153,8 @@
 
     def report_for(self, peer: str, now: float) -> ZonesTold:
         """Return the report for a peer; the loads are in it once in a while."""
+        if not self.is_active:
+            return ZonesTold()
         demands = self.own_demands(now)
         recent = {p: t for p, t in self._told_at_by_peer.items() if now - t < 1.0}
         told_at = self._told_at_by_peer.get(peer, -math.inf)
@@ -236,10 +240,23 @@
                 load = _KnownLoad(demand, capacity, now)
                 self._blend((service, self._home), load, weight)
 
-    def loads_by_service(self, now: float) -> dict[str, dict[str, ZoneLoad]]:
-        """Return all known loads that are not too old, by service and zone."""
+    def front_loads(self, now: float) -> dict[str, dict[str, ZoneLoad]]:
+        """Return the loads of the services that requests arrive for at this front."""
+        return self.loads_by_service(now, self._meter_by_service)
+
+    def loads_by_service(
+        self, now: float, services: Container[str] | None = None
+    ) -> dict[str, dict[str, ZoneLoad]]:
+        """Return the known loads that are not too old, by service and zone.
+
+        Args:
+            now: Time of this process's clock, in seconds.
+            services: Services to return; None for all.
+        """
         loads: defaultdict[str, dict[str, ZoneLoad]] = defaultdict(dict)
         for (service, zone), known in self._load_by_key.items():
+            if services is not None and service not in services:
+                continue
             age = max(0.0, now - known.measured_at)
             if age < MAX_LOAD_AGE_SECONDS:
                 loads[service][zone] = ZoneLoad(known.demand, known.capacity, age)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/zone_balancer.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/zone_balancer.py
@@ -8,7 +8,11 @@
 import curio
 
 from bramleyglade_core.decisions.directory import RoutableTargets
-from bramleyglade_core.decisions.zone_balance import ZoneBalance, ZonePlan
+from bramleyglade_core.decisions.zone_balance import (
+    EMPTY_PLAN,
+    ZoneBalance,
+    ZonePlan,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -45,13 +49,15 @@
         """Measure the loads and compute the shares once."""
         context = self._context
         self._read_configuration()
-        if len(self._region_by_zone) < 2:
+        context.zone_loads.is_active = len(self._region_by_zone) > 1
+        if not context.zone_loads.is_active:
+            context.picker.plan = EMPTY_PLAN
             return
         now = context.clock()
         self._measure(now)
         extra = context.zone_loads.extra_seconds_by_zone()
         changes = self._balance.update(
-            context.zone_loads.loads_by_service(now),
+            context.zone_loads.front_loads(now),
             self._region_by_zone,
             self._objective_by_service,
             extra,
--- a/tests/test_zone_balance.py
+++ b/tests/test_zone_balance.py
@@ -415,6 +415,8 @@
     loads = ZoneLoads("a1")
     good = ZoneLoadTold("a2", "s", 1.0, 2.0, 0.0)
     loads.note_report("vm", "a2", ZonesTold((), (good,)), CONFIGURATION, 0.0)
+    assert loads.report_for("vm", 0.0) == ZonesTold()
+    loads.is_active = True
     for count in (4, 300):
         told = [loads.report_for(f"vm-{n}", count / 100) for n in range(count)]
         assert sum(bool(report.loads) for report in told) <= 8
