--- a/packages/core/src/bramleyglade_core/decisions/zone_balance.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_balance.py
@@ -151,7 +151,9 @@
         demand, capacity = load.demand, load.capacity
         level = _kept_rate(capacity, least_free, _MAX_ZONE_LEVEL)
         if zone != home:
-            if extra_seconds_by_zone.get(zone, 0.0) > longest_extra:
+            if extra_seconds_by_zone and (
+                extra_seconds_by_zone.get(zone, 0.0) > longest_extra
+            ):
                 continue
             if load.age > _FRESH_SECONDS:
                 trust = _trust(load.age)
@@ -182,18 +184,20 @@
         if spare > _LEAST_RATE:
             region.spare += spare
             receiving.append((zone, region, spare))
-        else:
-            region.surplus += max(0.0, -spare)
+        elif spare < 0:
+            region.surplus -= spare
     far_total = max(0.0, own_region.demand - own_region.fill)
     far = far_total * surplus / own_region.surplus
-    received = sum(max(0.0, region.fill - region.demand) for region in regions)
+    received = 0.0
+    if far > 0:
+        received = sum([max(0.0, r.fill - r.demand) for r in regions])
     share_by_zone: dict[str, float] = {}
     leaving = 0.0
     for zone, region, spare in receiving:
         part = spare / region.spare / own.demand
         if region is own_region:
             share = (surplus - far) * part
-        elif region.fill > region.demand:
+        elif far > 0 and region.fill > region.demand:
             share = far * (region.fill - region.demand) / received * part
         else:
             continue
@@ -220,12 +224,17 @@
     if len(regions) > 1 and total_level > _LEAST_RATE:
         scale = max(1.0, total_demand / total_level)
         # Above their capacity, regions gain nothing from an equal level.
-        left = [
-            min(scale * level, max(level, region.capacity)) - region.demand
-            for region, level in zip(regions, levels, strict=True)
-        ]
-        spare = sum([rate for rate in left if rate > 0])
-        surplus = -sum([rate for rate in left if rate < 0])
+        left = []
+        spare = surplus = 0.0
+        for region, level in zip(regions, levels, strict=True):
+            highest = level if level > region.capacity else region.capacity
+            rate = scale * level
+            rate = (rate if rate < highest else highest) - region.demand
+            left.append(rate)
+            if rate > 0:
+                spare += rate
+            else:
+                surplus -= rate
         moved = min(surplus, spare)
         if moved > _LEAST_RATE:
             for region, part in zip(regions, left, strict=True):
@@ -247,9 +256,11 @@
         highest: Utilization above which it keeps nothing.
     """
     rate = capacity - least_free
-    if rate >= highest * capacity:
-        return highest * capacity
-    return rate if rate > _LEAST_LEVEL * capacity else _LEAST_LEVEL * capacity
+    most = highest * capacity
+    if rate >= most:
+        return most
+    least = _LEAST_LEVEL * capacity
+    return rate if rate > least else least
 
 
 def _least_free(share: float, objective_seconds: float) -> float:
