--- a/packages/core/src/bramleyglade_core/decisions/zone_balance.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_balance.py
@@ -12,10 +12,10 @@
 
 _NO_EXTRA: Mapping[str, float] = {}
 
-ZONE_WAIT_SHARE = 1 / 8
+ZONE_WAIT_SHARE = 1 / 16
 """Part of the latency objective that a request may wait before it leaves its zone."""
 
-REGION_WAIT_SHARE = 1 / 2
+REGION_WAIT_SHARE = 1 / 8
 """Part of the latency objective that a request may wait before it leaves its region."""
 
 DEFAULT_OBJECTIVE_SECONDS = 1.0
@@ -30,8 +30,8 @@
 _LEAST_LEVEL = 0.5
 """Utilization up to which a zone or region keeps its requests, however small it is."""
 
-_MAX_ZONE_LEVEL = 0.85
-_MAX_REGION_LEVEL = 0.95
+_MAX_ZONE_LEVEL = 0.75
+_MAX_REGION_LEVEL = 0.85
 """Utilization above which a region never keeps requests that another has capacity for.
 
 More than a zone's, as zones are balanced within the region first."""
@@ -41,7 +41,7 @@
 _LEAST_RATE = 1e-6
 """Rate in requests per second that counts as none."""
 
-_GAIN = 0.5
+_GAIN = 0.7
 """Part of the distance to the computed shares that one update covers."""
 
 _MIN_SHARE = 0.005
@@ -151,7 +151,9 @@
         demand, capacity = load.demand, load.capacity
         level = _kept_rate(capacity, least_free, _MAX_ZONE_LEVEL)
         if zone != home:
-            if extra_seconds_by_zone.get(zone, 0.0) > longest_extra:
+            if extra_seconds_by_zone and (
+                extra_seconds_by_zone.get(zone, 0.0) > longest_extra
+            ):
                 continue
             if load.age > _FRESH_SECONDS:
                 trust = _trust(load.age)
@@ -182,18 +184,20 @@
         if spare > _LEAST_RATE:
             region.spare += spare
             receiving.append((zone, region, spare))
-        else:
-            region.surplus += max(0.0, -spare)
+        elif spare < 0:
+            region.surplus -= spare
     far_total = max(0.0, own_region.demand - own_region.fill)
     far = far_total * surplus / own_region.surplus
-    received = sum(max(0.0, region.fill - region.demand) for region in regions)
+    received = 0.0
+    if far > 0:
+        received = sum([max(0.0, r.fill - r.demand) for r in regions])
     share_by_zone: dict[str, float] = {}
     leaving = 0.0
     for zone, region, spare in receiving:
         part = spare / region.spare / own.demand
         if region is own_region:
             share = (surplus - far) * part
-        elif region.fill > region.demand:
+        elif far > 0 and region.fill > region.demand:
             share = far * (region.fill - region.demand) / received * part
         else:
             continue
@@ -219,15 +223,22 @@
         total_level += level
     if len(regions) > 1 and total_level > _LEAST_RATE:
         scale = max(1.0, total_demand / total_level)
-        left = [
-            scale * level - region.demand
-            for region, level in zip(regions, levels, strict=True)
-        ]
-        spare = sum([rate for rate in left if rate > 0])
-        leaving = -sum([rate for rate in left if rate < 0])
-        if leaving > 0 and spare > _LEAST_RATE:
+        # Above their capacity, regions gain nothing from an equal level.
+        left = []
+        spare = surplus = 0.0
+        for region, level in zip(regions, levels, strict=True):
+            highest = level if level > region.capacity else region.capacity
+            rate = scale * level
+            rate = (rate if rate < highest else highest) - region.demand
+            left.append(rate)
+            if rate > 0:
+                spare += rate
+            else:
+                surplus -= rate
+        moved = min(surplus, spare)
+        if moved > _LEAST_RATE:
             for region, part in zip(regions, left, strict=True):
-                region.fill += part if part < 0 else leaving * part / spare
+                region.fill += moved * part / (surplus if part < 0 else spare)
     for region in regions:
         if region.fill > region.zone_level > _LEAST_RATE:
             region.scale = region.fill / region.zone_level
@@ -245,9 +256,11 @@
         highest: Utilization above which it keeps nothing.
     """
     rate = capacity - least_free
-    if rate >= highest * capacity:
-        return highest * capacity
-    return rate if rate > _LEAST_LEVEL * capacity else _LEAST_LEVEL * capacity
+    most = highest * capacity
+    if rate >= most:
+        return most
+    least = _LEAST_LEVEL * capacity
+    return rate if rate > least else least
 
 
 def _least_free(share: float, objective_seconds: float) -> float:
