Tell requests apart from regions that nobody hears from

In a partition each front found each target of the other region unreachable by a dial of its own, at a request's expense. Relays note when they heard from another region, and heartbeats pass it on within the region (HeartbeatSent.regions, one entry for each other region; each step adds a period, so that a contact never gets younger). Missing links to a region that was not heard from for ten periods count as failed.

--- a/benchmarks/control_traffic.py
+++ b/benchmarks/control_traffic.py
@@ -50,6 +50,11 @@
 async def _measure_rest(fleet: LocalFleet, situation: str, seed: int) -> None:
     before = {distance: _sent(fleet, distance) for distance in Distance}
     await curio.sleep(_REST_SECONDS)
+    total = sum((_sent(fleet, d) - before[d]).total() for d in Distance)
+    count = len(fleet.daemons)
+    measure = f"control traffic of each of {count} daemons {situation}"
+    per_second = total / count / _REST_SECONDS
+    emit(Measurement(measure, "ours", per_second, "B/s", seed))
     for distance in Distance:
         sent = _sent(fleet, distance) - before[distance]
         for kind, size in [("all", sum(sent.values())), *sent.most_common(3)]:
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -80,7 +80,13 @@
 }
 
 struct HelloSaid { version @0 :UInt32; daemon @1 :DaemonId; record @2 :MemberRecord; }
-struct HeartbeatSent { revision @0 :UInt64; membersDigest @1 :UInt64; }
+struct RegionHeard { region @0 :Text; ageSeconds @1 :Float64; }
+
+struct HeartbeatSent {
+  revision @0 :UInt64;
+  membersDigest @1 :UInt64;
+  regions @2 :List(RegionHeard);
+}
 
 struct HeartbeatAnswered {
   revision @0 :UInt64;
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -61,6 +61,14 @@
     """How long a new request would wait for the rate that the target allows."""
 
 
+@dataclass(frozen=True, slots=True)
+class RegionHeard:
+    """How long ago a daemon of another region was heard from."""
+
+    region: str
+    age_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class HeartbeatSent:
     """A periodic message that expects an answer."""
@@ -69,6 +77,8 @@
     """Store revision that the sender has."""
     members_digest: int
     """Digest of the sender's member records."""
+    regions: tuple[RegionHeard, ...] = ()
+    """Other regions that the sender or its peers have heard from recently."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -11,7 +11,8 @@
 from bramleyglade_core.decisions.directory import Directory
 from bramleyglade_core.decisions.lease import Lease, StoreContact
 from bramleyglade_core.decisions.picker import Picker
-from bramleyglade_core.decisions.regions import distance_between
+from bramleyglade_core.decisions.region_contact import RegionContact
+from bramleyglade_core.decisions.regions import distance_between, region_of
 from bramleyglade_core.decisions.retry_budget import RetryBudgets
 from bramleyglade_core.decisions.shared_view import SharedView
 from bramleyglade_core.decisions.splitter import Splitter
@@ -66,6 +67,7 @@
         self.lease = Lease(settings.lease, clock)
         self.contact = StoreContact(clock)
         self.picker = Picker(settings.zone, self.random)
+        self.region_contact = RegionContact(settings.peers.heartbeat_seconds)
         self.retry_budgets = RetryBudgets(settings.front, clock())
         self.splitter = Splitter(self.random)
         self.dialect: Dialect = dialect or FleetDialect(settings.front)
@@ -111,6 +113,10 @@
         """Return the distance to a zone, by the configuration in force."""
         return distance_between(zone, self.configuration, self.settings)
 
+    def region_of(self, zone: str) -> str | None:
+        """Return the region of a zone by the configuration in force, or None."""
+        return region_of(zone, self.configuration, self.settings)
+
     def note_earlier_record(self, record: MemberRecord) -> None:
         """Keep a record of an earlier daemon of this VM if it names newer targets."""
         known = self.earlier_record
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -28,6 +28,7 @@
     from bramleyglade_adapters.link.link import Link
     from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.model.announcements import MemberRecord
+    from bramleyglade_core.model.peer_messages import RegionHeard
     from bramleyglade_daemon.fleet.context import Context
     from bramleyglade_daemon.fleet.member_records import MemberRecords
     from bramleyglade_daemon.fleet.member_store import MemberStore
@@ -164,8 +165,13 @@
         name = link.peer.daemon.name
         settings = self._context.settings.peers
         sent_at = self._context.clock()
+        heard: tuple[RegionHeard, ...] = ()
+        if not self._peers.is_far(link):  # Other regions have relays of their own.
+            heard = self._context.region_contact.tell(sent_at)
         heartbeat = HeartbeatSent(
-            self._context.view.revision, self._context.directory.digest
+            self._context.view.revision,
+            self._context.directory.digest,
+            heard,
         )
         self._peers.note_heartbeat(link)
         try:
@@ -176,6 +182,7 @@
             await link.close()
             return False
         self._peers.note_heartbeat_answered(link)
+        self._peers.note_region_heard(link)
         self._peers.mark_seen(name)
         self._context.update_views(name, answer.views)
         await self._shared.apply_heartbeat_answer(link, answer, sent_at)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -98,6 +98,7 @@
     @_handle.register
     async def _(self, message: HeartbeatSent, link: Link, stream: int) -> None:
         self._context.view.note_revision(message.revision)
+        self._context.region_contact.learn(message.regions, self._context.clock())
         lease = self._context.lease
         answer = HeartbeatAnswered(
             revision=self._context.view.revision,
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -111,8 +111,29 @@
         is_dialling = task is not None and not task.terminated
         if name in self._failed_at_by_name and is_dialling:
             return LinkState.FAILED
+        if self._is_region_unreachable(name):
+            return LinkState.FAILED
         return LinkState.MISSING
 
+    def _is_region_unreachable(self, name: str) -> bool:
+        """Return whether a peer is in another region that nobody hears from."""
+        record = self._context.directory.record_by_name.get(name)
+        if record is None or not self._is_zone_far(record.zone):
+            return False
+        region = self._context.region_of(record.zone)
+        contact = self._context.region_contact
+        return region is not None and contact.is_unreachable(
+            region, self._context.clock()
+        )
+
+    def note_region_heard(self, link: Link) -> None:
+        """Record that a peer has just answered, for all daemons of its region."""
+        if link.peer is None or not self.is_far(link):
+            return
+        region = self._context.region_of(link.peer.record.zone)
+        if region is not None:
+            self._context.region_contact.note_heard(region, self._context.clock())
+
     def note_heartbeat(self, link: Link) -> None:
         """Record that a heartbeat is sent on a link."""
         self._heartbeat_by_link[link] = _UnansweredHeartbeat(
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import replace
 
@@ -11,7 +12,9 @@
 from hypothesis import strategies as st
 
 from bramleyglade_core.decisions.neighbours import Member, choose_neighbours, relays
+from bramleyglade_core.decisions.region_contact import RegionContact
 from bramleyglade_core.model.entities import Zone
+from bramleyglade_core.model.peer_messages import RegionHeard
 from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_standins.local_fleet import first_ticket, free_address, make_settings
 
@@ -190,6 +193,41 @@
     run_fleet(scenario, daemons=10, ticket=two_region_ticket())
 
 
+def is_far_region_unreachable(daemon):
+    """Return whether requests of a daemon no longer wait for dials to the other one."""
+    context = daemon.context
+    (far,) = set(REGIONS) - {context.settings.region}
+    return context.region_contact.is_unreachable(far, context.clock())
+
+
+@given(
+    transits=st.lists(st.floats(0.0, 0.9), min_size=60, max_size=60),
+    age=st.floats(0.0, 4.0),
+)
+def test_contact_with_a_region_grows_old_while_daemons_tell_each_other_of_it(
+    transits, age
+):
+    """Each message made the contact younger by the time that it took."""
+    daemons = [RegionContact(1.0), RegionContact(1.0)]
+    daemons[0].note_heard("region-2", 100.0 - age)
+    now = 100.0
+    for number, transit in enumerate(transits):
+        told = daemons[number % 2].tell(now)
+        now += transit
+        daemons[(number + 1) % 2].learn(told, now)
+    for contact in daemons:
+        for heard in contact.tell(now):
+            assert heard.age_seconds >= now - 100.0 + age - 1e-6
+
+
+@pytest.mark.parametrize("age", [-1.0, math.nan, math.inf, 1e9])
+def test_age_out_of_range_is_ignored(age):
+    contact = RegionContact(1.0)
+    contact.learn((RegionHeard("region-2", age),), 100.0)
+    assert not contact.tell(100.0)
+    assert not contact.is_unreachable("region-2", 100.0)
+
+
 def test_partitioned_regions_go_on_and_join_again(run_fleet):
     async def scenario(fleet):
         sides = [range(0, 8, 2), range(1, 8, 2)]
@@ -202,12 +240,18 @@
             # Without a key: the keeper of a team's rate may be on the other side.
             assert (await fleet.call(index, path="/open/1", key="")).status == 200
         assert not region_links(fleet)
+        await fleet.wait_until(
+            lambda: all(is_far_region_unreachable(d) for d in fleet.daemons)
+        )
         fleet.blocked_pairs.clear()
         await fleet.wait_until(
             lambda: all(
                 len(d.context.directory.live_names()) == 8 for d in fleet.daemons
             )
         )
+        await fleet.wait_until(
+            lambda: not any(is_far_region_unreachable(d) for d in fleet.daemons)
+        )
         assert region_links(fleet)
 
     run_fleet(scenario, daemons=8, ticket=two_region_ticket())
