Ask for the state of a link without a port

A pick that looks for ready links asks for the state of each candidate's link; making a port for each is not needed.

--- a/packages/core/src/bramleyglade_core/ports/streams.py
+++ b/packages/core/src/bramleyglade_core/ports/streams.py
@@ -7,7 +7,6 @@
 if TYPE_CHECKING:
     import curio
 
-    from bramleyglade_core.decisions.link_choice import LinkState
     from bramleyglade_core.model.exchange import AnswerEvent, AttemptOffered
 
 
@@ -47,10 +46,6 @@
 class AttemptPort(Protocol):
     """A guard that attempts can be offered to, local or remote."""
 
-    @property
-    def link_state(self) -> LinkState:
-        """State of the link that an offer would use."""
-
     async def offer(self, offered: AttemptOffered) -> AttemptStream:
         """Offer an attempt.
 
--- a/packages/daemon/src/bramleyglade_daemon/front/attempts.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/attempts.py
@@ -443,7 +443,9 @@
         if self._open.has_others:
             # The open attempts are not received from while a link is opened.
             candidates = [
-                c for c in candidates if self._link_state(c) is LinkState.READY
+                c
+                for c in candidates
+                if self._dispatcher.link_state(c) is LinkState.READY
             ]
         stated = self._request.head.content_length
         is_retryable = self._request.is_idempotent and not self._is_last
@@ -455,17 +457,18 @@
         )
         self._dispatcher.refresh_local_views()
         linked = pick_by_link(
-            self._context.picker, candidates, self._tried, options, self._link_state
+            self._context.picker,
+            candidates,
+            self._tried,
+            options,
+            self._dispatcher.link_state,
         )
         if linked.pick is not None and linked.passed_over is not None:
             self._note_passed_over(linked.pick, linked.passed_over.candidate)
         return linked.pick
 
-    def _link_state(self, candidate: Candidate) -> LinkState:
-        return self._dispatcher.port(candidate).link_state
-
     def _note_passed_over(self, pick: Pick, passed_over: Candidate) -> None:
-        state = self._link_state(passed_over)
+        state = self._dispatcher.link_state(passed_over)
         self._dispatcher.opener.note_missing(passed_over.target.daemon)
         extra = {
             "request": self._request.request_id,
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from bramleyglade_adapters.telemetry import Hop
     from bramleyglade_core.decisions.directory import Candidate
+    from bramleyglade_core.decisions.link_choice import LinkState
     from bramleyglade_core.model.verdict import Verdict
     from bramleyglade_core.ports.streams import AttemptPort
     from bramleyglade_daemon.fleet.context import Context
@@ -70,6 +71,10 @@
         """Return the port of a target's guard."""
         return self._ports.find(candidate.target.daemon)
 
+    def link_state(self, candidate: Candidate) -> LinkState:
+        """Return the state of the link to a target's guard."""
+        return self._ports.link_state(candidate.target.daemon)
+
     def refresh_local_views(self) -> None:
         """Update the load of the targets on this VM; needs no message."""
         self._ports.refresh_local_views()
--- a/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/guard_ports.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from bramleyglade_core.decisions.link_choice import LinkState
 from bramleyglade_core.model.errors import AttemptError, ErrorCode
 from bramleyglade_core.model.peer_messages import OutcomeAsked
 from bramleyglade_core.model.verdict import Verdict
@@ -13,7 +14,6 @@
     from typing import Any
 
     from bramleyglade_adapters.link.link import Link
-    from bramleyglade_core.decisions.link_choice import LinkState
     from bramleyglade_core.model.exchange import AttemptOffered
     from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.ports.streams import AttemptPort
@@ -30,11 +30,6 @@
         self._daemon = daemon
         self._window = window_bytes
 
-    @property
-    def link_state(self) -> LinkState:
-        """State of the link that an offer would use."""
-        return self._peers.link_state(self._daemon.name)
-
     async def offer(self, offered: AttemptOffered) -> FrontStream:
         """Offer an attempt.
 
@@ -90,6 +85,12 @@
         """Update this front's view of the load of the targets on its VM."""
         self._local.refresh_views()
 
+    def link_state(self, name: str) -> LinkState:
+        """Return the state of the link to a guard; the one in this process is ready."""
+        if name == self._context.settings.name:
+            return LinkState.READY
+        return self._peers.link_state(name)
+
     def find(self, name: str) -> AttemptPort:
         """Return the port of a guard, by its current record in the directory."""
         if name == self._context.settings.name:
--- a/packages/daemon/src/bramleyglade_daemon/guard/guard.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/guard.py
@@ -10,7 +10,6 @@
 import curio
 
 from bramleyglade_core.decisions.attempt_table import AttemptTable
-from bramleyglade_core.decisions.link_choice import LinkState
 from bramleyglade_core.decisions.target_runs import TargetRuns
 from bramleyglade_core.model.announcements import TargetRun
 from bramleyglade_core.model.errors import AttemptError, ErrorCode, FleetError
@@ -342,11 +341,6 @@
         self._guard = guard
         self._window = window_bytes
 
-    @property
-    def link_state(self) -> LinkState:
-        """State of the link that an offer would use; this process needs none."""
-        return LinkState.READY
-
     async def offer(self, offered: AttemptOffered) -> FrontStream:
         """Offer an attempt."""
         front, guard_end = make_local_streams(self._window)
