--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -80,10 +80,12 @@
 }
 
 struct HelloSaid { version @0 :UInt32; daemon @1 :DaemonId; record @2 :MemberRecord; }
+struct RegionHeard { region @0 :Text; ageSeconds @1 :Float64; }
+
 struct HeartbeatSent {
   revision @0 :UInt64;
   membersDigest @1 :UInt64;
-  reserved2 @2 :Void;
+  regions @2 :List(RegionHeard);
   era @3 :UInt32;
 }
 
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -121,6 +121,14 @@
     """Some of the loads; empty in most messages."""
 
 
+@dataclass(frozen=True, slots=True)
+class RegionHeard:
+    """How long ago a daemon of another region was heard from."""
+
+    region: str
+    age_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class HeartbeatSent:
     """A periodic message that expects an answer."""
@@ -131,6 +139,8 @@
     """Digest of the sender's member records."""
     era: int = 0
     """Era of the store that the revision belongs to; 0 without eras."""
+    regions: tuple[RegionHeard, ...] = ()
+    """Other regions that the sender or its peers have heard from recently."""
 
     def __post_init__(self) -> None:
         _check_era(self.era)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -99,6 +99,7 @@
     @_handle.register
     async def _(self, message: HeartbeatSent, link: Link, stream: int) -> None:
         await self._shared.note_revision(link, message.revision, message.era)
+        self._context.region_contact.learn(message.regions, self._context.clock())
         lease = self._context.lease
         answer = HeartbeatAnswered(
             revision=self._context.view.revision,
@@ -240,8 +241,8 @@
         return self._guard.views() if is_sender else ()
 
     def _loads_for(self, link: Link) -> tuple[ServiceLoadTold, ...]:
-        """Return the load of services in use here, for neighbours only."""
-        if not self._peers.is_neighbour(link):
+        """Return the load of services in use here, for neighbours of the region only."""
+        if not self._peers.is_neighbour(link) or self._peers.is_far(link):
             return ()
         return self._context.loads.told(self._context.clock())
 
