Test the kept answer of an upload whose link is lost

The exchange of a request that is not idempotent goes on for its outcome. A target that closed an answer without a length had the part kept, and the front that asked delivered it as a complete 200. The test fails so on the code before this part; the check of the end of the stream mends it, too.

--- a/tests/test_truncated_uploads.py
+++ b/tests/test_truncated_uploads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import replace
 
 import curio
@@ -169,6 +170,29 @@
     assert "Task Crash" not in caplog.text
 
 
+def test_answer_without_a_length_to_a_truncated_upload_is_not_kept(run_fleet, caplog):
+    """The front that asked for the outcome got a part of the answer as the whole."""
+
+    async def scenario(fleet):
+        target = SilentTarget()
+        await use_only(fleet, target)
+        async with await begin_upload(fleet, target) as sock:
+            fleet.silence_links(1, 0)
+            await target.sock.sendall(b"HTTP/1.1 200 OK\r\n\r\na part")
+            (worker,) = runner_of(fleet)._running
+            await fleet.wait_until(lambda: worker.head_seconds is not None)
+            await fleet.cut_links(0, 1)
+            await fleet.wait_until(lambda: worker.current.stream.is_link_lost)
+            await target.sock.shutdown(socket.SHUT_WR)
+            answer = await sock.recv(RECEIVE_BYTES)
+        assert answer.startswith(b"HTTP/1.1 502 ")
+        assert b"x-fleet-verdict: may-have-run" in answer
+        assert target.opened == 1
+
+    run_fleet(scenario)
+    assert "Task Crash" not in caplog.text
+
+
 def note_askers(outcomes):
     """Return a list to which the task and stream of each asking front are added."""
     asking = []
