Take a status without a meaning from a guard for a malformed answer

A guard of an earlier version passes on any status of its target. The front's end of the stream cancels such an attempt and reports it as malformed.

--- a/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
@@ -37,9 +37,6 @@
 Reading bytes that have already arrived does not yield to other tasks, so an endless
 series would block them all."""
 
-_LAST_STATUS = 599
-"""Statuses above it have no meaning (RFC 9110, 15); h11 accepts up to 999."""
-
 AnswerPart = Union[AnswerStarted, AnswerContinued, AnswerEnded]
 
 
@@ -222,14 +219,15 @@
 
 def _to_answer_part(event: object) -> AnswerPart | None:
     if isinstance(event, h11.Response):
-        if event.status_code > _LAST_STATUS:
+        headers = headers_from_wire(event.headers)
+        started = AnswerStarted(event.status_code, _without_overridden_length(headers))
+        if not started.has_valid_status:
             raise AnswerBroken(
                 ErrorCode.ANSWER_MALFORMED,
-                f"{event.status_code} is not a status",
+                f"{started.status} is not a status",
                 Verdict.MAY_HAVE_RUN,
             )
-        headers = headers_from_wire(event.headers)
-        return AnswerStarted(event.status_code, _without_overridden_length(headers))
+        return started
     if isinstance(event, h11.EndOfMessage):
         return AnswerEnded(headers_from_wire(event.headers))
     if isinstance(event, h11.InformationalResponse):
--- a/packages/core/src/bramleyglade_core/model/exchange.py
+++ b/packages/core/src/bramleyglade_core/model/exchange.py
@@ -9,6 +9,9 @@
 from bramleyglade_core.model.identifiers import AttemptId
 from bramleyglade_core.model.verdict import Verdict
 
+_FIRST_STATUS, _LAST_STATUS = 100, 599
+"""Statuses outside have no meaning (RFC 9110, 15); h11 accepts up to 999."""
+
 
 @dataclass(frozen=True, slots=True)
 class Header:
@@ -64,6 +67,11 @@
     status: int
     headers: tuple[Header, ...]
 
+    @property
+    def has_valid_status(self) -> bool:
+        """Whether the status is one that an answer may have."""
+        return _FIRST_STATUS <= self.status <= _LAST_STATUS
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerContinued:
--- a/packages/daemon/src/bramleyglade_daemon/streams.py
+++ b/packages/daemon/src/bramleyglade_daemon/streams.py
@@ -17,6 +17,7 @@
     AnswerContinued,
     AnswerEnded,
     AnswerEvent,
+    AnswerStarted,
     AttemptFailed,
 )
 from bramleyglade_core.model.peer_messages import (
@@ -191,12 +192,24 @@
         """Wait for the next part of the answer."""
         await self._turns.step()
         event = await self._events.get()
+        if isinstance(event, AnswerStarted) and not event.has_valid_status:
+            return await self._reject(event)
         if isinstance(event, AnswerContinued):
             await self._give_credit(len(event.data))
         elif isinstance(event, (AnswerEnded, AttemptFailed)):
             self._close()
         return event
 
+    async def _reject(self, started: AnswerStarted) -> AttemptFailed:
+        """End an attempt whose guard, of an earlier version, passes on any status."""
+        await self.body_credit.close()
+        await self.cancel()
+        return AttemptFailed(
+            ErrorCode.ANSWER_MALFORMED,
+            f"{started.status} is not a status",
+            Verdict.MAY_HAVE_RUN,
+        )
+
     async def cancel(self) -> None:
         """Cancel the attempt; does nothing if it has ended."""
         if self._has_ended:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -11,12 +11,15 @@
 from bramleyglade_adapters.http.client_connection import AnswerBroken, ClientConnection
 from bramleyglade_adapters.http.server_connection import ServerConnection
 from bramleyglade_adapters.http.simple_client import AnswerLost, SimpleClient
+from bramleyglade_core.model.errors import ErrorCode
 from bramleyglade_core.model.exchange import (
     AnswerContinued,
     AnswerEnded,
     AnswerStarted,
     Header,
 )
+from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_daemon.streams import make_local_streams
 from bramleyglade_standins.local_fleet import free_address
 
 PART = b"a part of the answer"
@@ -243,3 +246,18 @@
             return received.endswith(PART)
 
     assert curio.run(main) is is_ended
+
+
+@pytest.mark.parametrize("status", [0, 99, 600, 999])
+def test_status_without_a_meaning_from_a_guard_is_malformed(status):
+    """Guards of earlier versions pass on what their target has sent."""
+
+    async def main():
+        front, guard = make_local_streams(window=1000)
+        await guard.send(AnswerStarted(status, ()))
+        failed = await front.receive()
+        assert failed.code is ErrorCode.ANSWER_MALFORMED
+        assert failed.verdict is Verdict.MAY_HAVE_RUN
+        assert guard.is_abandoned
+
+    curio.run(main)
