Test that free slots are used unless calls overload the service

Without the rule for free slots no test failed; now one does (tried on a scratch copy of the sources).

--- a/tests/test_path_admission.py
+++ b/tests/test_path_admission.py
@@ -359,6 +359,20 @@
     assert shortage.retry_after > 0
 
 
+def test_free_slots_are_used_unless_calls_come_faster_than_slots_become_free():
+    """Queues at some targets must not cause rejections while other targets are free.
+
+    New work must not take the last slots of a service that calls alone overload.
+    """
+    loads = {"b": load(free=2.0, queued=queue(p2=100))}
+    work = NewWork("b", 2, 2, 3.0)
+    assert find_shortage(loads, work) is None
+    loads["a"] = load(running=10.0)
+    assert find_shortage(loads, work, [("a", "b", 1.0)]) is None
+    loads["a"] = load(running=20.0)
+    assert find_shortage(loads, work, [("a", "b", 1.0)]).service == "b"
+
+
 def test_shortage_of_a_service_that_is_called_rejects_less_urgent_parents_first():
     """Calls have equal precedence, so parents must leave room for more urgent ones."""
     loads = {"a": load(free=5.0), "b": load(queued=queue(calls=10))}
