--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -241,7 +241,7 @@
         return self._guard.views() if is_sender else ()
 
     def _loads_for(self, link: Link) -> tuple[ServiceLoadTold, ...]:
-        """Return the load of services in use here, for neighbours of the region only."""
+        """Return the load of services in use here, for neighbours in this region."""
         if not self._peers.is_neighbour(link) or self._peers.is_far(link):
             return ()
         return self._context.loads.told(self._context.clock())
