Keep the call that merges a batch as it was

A test of planned stops replaces SharedView.apply by a function of the batch alone and failed since the shared view took the time with each batch. Only the begin of an era needs the time.

--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -68,19 +68,20 @@
 
         Args:
             batch: Changes from the store or from a peer.
-            now: Time of this process's clock, in seconds.
+            now: Time of this process's clock, in seconds, if the batch may begin an
+                era.
 
         Returns:
             False if the batch would leave a gap; nothing but the era is changed then.
         """
         if batch.era < self.era:
-            self._apply_late(batch, now)
+            self._apply_late(batch)
             return True
         self.enter_era(batch.era, now)
         self.note_revision(batch.up_to, batch.era)
         if batch.after > self.revision:
             return False
-        self._merge_states(batch, now)
+        self._merge_states(batch)
         for assignment in batch.assignments:
             self._merge_assignment(assignment)
         self.revision = max(self.revision, batch.up_to)
@@ -124,7 +125,7 @@
             era=self.era,
         )
 
-    def _apply_late(self, batch: SharedBatch, now: float) -> None:
+    def _apply_late(self, batch: SharedBatch) -> None:
         """Merge what operators wrote in the era before; it may be in force elsewhere.
 
         Nothing else of an earlier era counts any more.
@@ -133,11 +134,11 @@
         if batch.era == era and batch.after <= revision:
             self._former = (era, max(revision, batch.up_to))
             states = tuple(replace(state, revision=0) for state in batch.states)
-            self._merge_states(replace(batch, states=states), now)
+            self._merge_states(replace(batch, states=states))
 
-    def _merge_states(self, batch: SharedBatch, now: float) -> None:
+    def _merge_states(self, batch: SharedBatch) -> None:
         current = self.configuration
-        states = self._zone_hold.filter(batch.states, current.state_by_key, now)
+        states = self._zone_hold.filter(batch.states, current.state_by_key)
         self.configuration = current.merged(states, batch.whole_ticket)
 
     def _merge_assignment(self, assignment: KeeperAssignment) -> None:
--- a/packages/core/src/bramleyglade_core/decisions/store_era.py
+++ b/packages/core/src/bramleyglade_core/decisions/store_era.py
@@ -229,28 +229,28 @@
     """
 
     def __init__(self) -> None:
-        self._ends_at = float("-inf")
+        self._ends_at = float("inf")
+        self._is_active = False
         self._state_by_key: dict[EntityKey, EntityState] = {}
 
     def begin(self, now: float) -> None:
         """Begin an era."""
         self._ends_at = now + ZONE_HOLD_SECONDS
+        self._is_active = True
         self._state_by_key.clear()
 
     def filter(
         self,
         states: Iterable[EntityState],
         current_by_key: Mapping[EntityKey, EntityState],
-        now: float,
     ) -> tuple[EntityState, ...]:
         """Return the states that take effect now, and keep the others.
 
         Args:
             states: New states.
             current_by_key: The states in force.
-            now: Time of this process's clock, in seconds.
         """
-        if now >= self._ends_at:
+        if not self._is_active:
             return tuple(states)
         released = []
         for state in states:
@@ -264,9 +264,14 @@
         return tuple(released)
 
     def release(self, now: float) -> tuple[EntityState, ...]:
-        """Return the kept states once the time is over."""
-        if now < self._ends_at or not self._state_by_key:
+        """Return the kept states once the time is over.
+
+        Args:
+            now: Time of this process's clock, in seconds.
+        """
+        if now < self._ends_at:
             return ()
+        self._is_active = False
         states = tuple(self._state_by_key.values())
         self._state_by_key.clear()
         return states
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -310,7 +310,7 @@
         view = self._context.view
         await self._enter_era(batch.era, batch.up_to, source)
         before, configuration = view.revision, view.configuration
-        if not view.apply(batch, self._context.clock()):
+        if not view.apply(batch):
             return False
         if view.revision == before and view.configuration is configuration:
             return True
