Forget that a target was warm when a new instance replaces it

The statement of the earlier instance outlived its restart, so a new one that had stated nothing yet got all its slots at once. The statement is now dropped with the other estimates; one that the target is still cold stays in force.

--- a/packages/core/src/bramleyglade_core/decisions/cold_rate_limiter.py
+++ b/packages/core/src/bramleyglade_core/decisions/cold_rate_limiter.py
@@ -19,6 +19,11 @@
         """Set the time until which the target is cold, by this process's clock."""
         self._cold_until = until
 
+    def restart(self, now: float) -> None:
+        """Forget that the target was warm, as a new instance has replaced it."""
+        if not self.is_cold(now):
+            self._cold_until = None
+
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold."""
         return self._cold_until is not None and now < self._cold_until
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_runner.py
@@ -483,6 +483,7 @@
         self.announced = announced
         self.is_closed = False
         self.ramp = ConcurrencyRamp(announced.slots)
+        self.cold.restart(self.clock())
         self.failures = FailureFilter()
         self.latency = LatencyEstimator()
         self.rate = RequestRateLimiter()
--- a/tests/test_warm_targets.py
+++ b/tests/test_warm_targets.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import curio
+
 
 def test_target_that_states_that_it_is_warm_gets_all_its_slots(runner, clock):
     """Such a target began with one slot and, with slow answers, kept it for minutes."""
@@ -27,3 +31,10 @@
 def test_target_that_states_nothing_is_ramped_up(runner, clock):
     clock.advance(60.0)
     assert runner.view().limit == 1
+
+
+def test_new_instance_is_not_taken_for_warm(runner, clock):
+    """It got all slots at once because the instance before it had been warm."""
+    runner.cold.note_cold(clock())
+    curio.run(runner.restart, replace(runner.announced, instance="next"))
+    assert runner.view().limit == 1
