Drop round trips to zones that are not measured any more

Daemons that are no relays send heartbeats to another region only while they send requests there. One round trip over an eighth of the objective, as over a link that is saturated for a moment, left the region no share and so no request that would measure it again. The average is dropped after 30 s without a new one. Before, no test could express the age, as none was kept.

--- a/packages/core/src/bramleyglade_core/decisions/zone_loads.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_loads.py
@@ -61,6 +61,10 @@
 _LATENCY_GAIN = 0.2
 """Weight of a new round trip in the average of its zone."""
 
+_ROUND_TRIP_SECONDS = 30.0
+"""Time without a new round trip after which the average of a zone is dropped. Most
+daemons send heartbeats to another region only while they send requests there."""
+
 
 class RateMeter:
     """An exponential average of a rate of events."""
@@ -101,6 +105,12 @@
     measured_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _RoundTrip:
+    seconds: float
+    measured_at: float
+
+
 class ZoneLoads:
     """Loads of all zones: the own one measured, the others reported by peers."""
 
@@ -112,7 +122,7 @@
         self._demand_by_peer: dict[str, _PeerDemand] = {}
         self._load_by_key: dict[tuple[str, str], _KnownLoad] = {}
         """By service and zone."""
-        self._round_trip_by_zone: dict[str, float] = {}
+        self._round_trip_by_zone: dict[str, _RoundTrip] = {}
         self._next_told = 0
         """Index of the first load of the next report."""
         self._told_at_by_peer: dict[str, float] = {}
@@ -124,19 +134,27 @@
             meter = self._meter_by_service[service] = RateMeter(now)
         meter.note(now)
 
-    def note_round_trip(self, zone: str, seconds: float) -> None:
+    def note_round_trip(self, zone: str, seconds: float, now: float) -> None:
         """Note the round trip of a heartbeat to a daemon in a zone."""
         known = self._round_trip_by_zone.get(zone)
-        if known is None:
-            known = seconds
-        self._round_trip_by_zone[zone] = known + _LATENCY_GAIN * (seconds - known)
+        average = seconds if known is None else known.seconds
+        average += _LATENCY_GAIN * (seconds - average)
+        self._round_trip_by_zone[zone] = _RoundTrip(average, now)
+
+    def extra_seconds_by_zone(self, now: float) -> dict[str, float]:
+        """Return by how much a round trip to each zone is longer than in this one.
 
-    def extra_seconds_by_zone(self) -> dict[str, float]:
-        """Return by how much a round trip to each zone is longer than in this one."""
-        own = self._round_trip_by_zone.get(self._home, 0.0)
+        Zones without a recent measurement are left out. Otherwise one that was slow
+        when it was last measured would get no request, and so no new measurement.
+        """
+        oldest = now - _ROUND_TRIP_SECONDS
+        for zone, known in list(self._round_trip_by_zone.items()):
+            if known.measured_at < oldest:
+                del self._round_trip_by_zone[zone]
+        own = self._round_trip_by_zone.get(self._home, _RoundTrip(0.0, now))
         return {
-            zone: max(0.0, seconds - own)
-            for zone, seconds in self._round_trip_by_zone.items()
+            zone: max(0.0, known.seconds - own.seconds)
+            for zone, known in self._round_trip_by_zone.items()
         }
 
     def own_demands(self, now: float) -> tuple[ServiceDemandTold, ...]:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -197,8 +197,8 @@
         if record is None:
             return
         loads = self._context.zone_loads
-        loads.note_round_trip(record.zone, seconds)
         now, configuration = self._context.clock(), self._context.configuration
+        loads.note_round_trip(record.zone, seconds, now)
         loads.note_report(name, record.zone, answer.zones, configuration, now)
 
     async def _probe_unresponsive(self) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/zone_balancer.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/zone_balancer.py
@@ -55,7 +55,7 @@
             return
         now = context.clock()
         self._measure(now)
-        extra = context.zone_loads.extra_seconds_by_zone()
+        extra = context.zone_loads.extra_seconds_by_zone(now)
         changes = self._balance.update(
             context.zone_loads.front_loads(now),
             self._region_by_zone,
--- a/tests/test_zone_balance.py
+++ b/tests/test_zone_balance.py
@@ -420,3 +420,13 @@
     for count in (4, 300):
         told = [loads.report_for(f"vm-{n}", count / 100) for n in range(count)]
         assert sum(bool(report.loads) for report in told) <= 8
+
+
+def test_zone_that_was_slow_once_is_measured_again():
+    """A region over a saturated link got no request, and so no new round trip."""
+    loads = ZoneLoads("a1")
+    loads.note_round_trip("a1", 0.001, 0.0)
+    loads.note_round_trip("b1", 0.5, 0.0)
+    loads.note_round_trip("a1", 0.001, 29.0)
+    assert loads.extra_seconds_by_zone(29.0) == {"a1": 0.0, "b1": pytest.approx(0.499)}
+    assert loads.extra_seconds_by_zone(31.0) == {"a1": 0.0}
