--- a/packages/core/src/bramleyglade_core/decisions/zone_balance.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_balance.py
@@ -309,6 +309,8 @@
         for service in list(self.share_by_zone_by_service):
             if service not in loads_by_service:
                 del self.share_by_zone_by_service[service]
+                before = self._reported_by_service.pop(service, 0.0)
+                changes.append(ShareChange(service, before, {self._home: 1.0}, {}))
         for service, load_by_zone in loads_by_service.items():
             shares = zone_shares(
                 self._home,
@@ -341,7 +343,10 @@
         is_switched = (leaving > 0) != (before > 0)
         if not is_switched and abs(leaving - before) < _REPORTED_CHANGE:
             return None
-        self._reported_by_service[service] = leaving
+        if leaving > 0:
+            self._reported_by_service[service] = leaving
+        else:
+            self._reported_by_service.pop(service, None)
         return ShareChange(service, before, share_by_zone, load_by_zone)
 
 
--- a/tests/test_zone_balance.py
+++ b/tests/test_zone_balance.py
@@ -430,3 +430,15 @@
     loads.note_round_trip("a1", 0.001, 29.0)
     assert loads.extra_seconds_by_zone(29.0) == {"a1": 0.0, "b1": pytest.approx(0.499)}
     assert loads.extra_seconds_by_zone(31.0) == {"a1": 0.0}
+
+
+def test_shares_that_end_for_lack_of_loads_are_reported():
+    """The last log line said that requests left the zone, long after none did."""
+    balance = ZoneBalance("a1")
+    loads = {"a1": ZoneLoad(20.0, 10.0), "a2": ZoneLoad(0.0, 40.0)}
+    (left,) = balance.update({"s": loads}, REGIONS, {"s": OBJECTIVE_SECONDS}, {})
+    (ended,) = balance.update({}, REGIONS, {}, {})
+    assert ended.share_by_zone == {"a1": 1.0}
+    assert ended.leaving_before == 1.0 - left.share_by_zone["a1"]
+    (again,) = balance.update({"s": loads}, REGIONS, {"s": OBJECTIVE_SECONDS}, {})
+    assert again.leaving_before == 0.0
