Don't lend retries that expire before the loan does

Retries that were earned by first attempts about to leave the window could be lent and then spent up to a second later, in a window of all fronts without those attempts. They are now kept back. The new test failed before (4 retries lent instead of at most the floor of 1).

--- a/packages/core/src/bramleyglade_core/decisions/retry_budget.py
+++ b/packages/core/src/bramleyglade_core/decisions/retry_budget.py
@@ -57,6 +57,15 @@
             amount += self._slots.pop()[1]
         self._slots.append((slot, amount))
 
+    def total_until(self, until: float) -> float:
+        """Return what is still in the window at a later time, its first slot excluded.
+
+        Args:
+            until: That time by this process's clock, in seconds.
+        """
+        oldest = int(until / self._slot_seconds) - _SLOTS_PER_WINDOW
+        return sum(amount for slot, amount in self._slots if slot > oldest)
+
     def total(self, now: float, includes_partial_slot: bool = False) -> float:
         """Return the sum over the window.
 
@@ -140,6 +149,12 @@
         """
         has_spent = now - self._spent_at < self._settings.retry_window_seconds
         kept = _KEPT_RETRIES if has_spent else 0.0
+        # First attempts that leave the window before the loan ends don't count, as it
+        # may be spent in a window without them.
+        expiring = self._first_attempts.total(now) - self._first_attempts.total_until(
+            now + _LOAN_SECONDS
+        )
+        kept += self._settings.retry_share * max(0.0, expiring)
         lent = min(wanted, self._own_available(now) - kept)
         if lent <= 0:
             return 0.0
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -86,6 +86,19 @@
     assert budget.lend(1.0, 100.0) == 0.0
 
 
+def test_retries_earned_by_attempts_that_leave_the_window_are_not_lent():
+    """They were spent in a window that no longer held those attempts."""
+    settings = FrontSettings(
+        retry_share=0.2, retry_floor=1.0, retry_window_seconds=WINDOW_SECONDS
+    )
+    budget = RetryBudget(settings)
+    budget.set_fleet_size(1)
+    for _ in range(50):
+        budget.note_first_attempt(100.0)
+    assert budget.lend(4.0, 105.0) == 4.0
+    assert budget.lend(4.0, 109.4) <= 1.0
+
+
 def test_front_without_retries_borrows_one_from_a_peer(run_fleet):
     async def scenario(fleet):
         for daemon in fleet.daemons:
