Bound the whole wait for loans, also that for the last peer

A peer that was asked just before the bound of 0.15 s had its whole time, so a caller waited up to 0.05 s longer for each service that the retry needs.

--- a/packages/daemon/src/bramleyglade_daemon/front/retry_loans.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/retry_loans.py
@@ -20,7 +20,7 @@
 """Timeout of one answer, for which a caller waits."""
 
 _MAX_WAIT_SECONDS = 0.15
-"""Longest wait of a caller for all answers; the last peer is asked before that."""
+"""Longest wait of a caller for all answers."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -54,12 +54,14 @@
         asked_at = self._context.clock()
         link_by_name = self._lending_links()
         chosen = self._lenders.choose(service, list(link_by_name), asked_at)
+        last_at = asked_at + _MAX_WAIT_SECONDS
         asked = 0
         for name in chosen:
-            if self._context.clock() - asked_at >= _MAX_WAIT_SECONDS:
+            if self._context.clock() >= last_at:
                 break
             asked += 1
-            if not await self._borrow(link_by_name[name], service, may_have_run):
+            link = link_by_name[name]
+            if not await self._borrow(link, service, may_have_run, last_at):
                 self._lenders.note_empty(service, name, self._context.clock())
             if budgets.try_spend(service, may_have_run, self._context.clock()):
                 self._lenders.note_granted(service)
@@ -76,16 +78,25 @@
         near = [link for link in links if not self._peers.is_far(link)]
         return {link.peer_name: link for link in near or links}
 
-    async def _borrow(self, link: Link, service: str, may_have_run: bool) -> bool:
-        """Ask a peer to lend what one retry needs; return whether it has lent that."""
+    async def _borrow(
+        self, link: Link, service: str, may_have_run: bool, last_at: float
+    ) -> bool:
+        """Ask a peer to lend what one retry needs; return whether it has lent that.
+
+        Args:
+            link: Link to the peer.
+            service: The service.
+            may_have_run: Whether the failed attempt may have run.
+            last_at: Time of this process's clock until which an answer counts.
+        """
         budgets = self._context.retry_budgets
         asked_at = self._context.clock()
         missing = budgets.missing(service, may_have_run, asked_at)
         for name, retries in missing.items():
+            left_seconds = max(0.0, last_at - self._context.clock())
+            timeout = min(_ANSWER_TIMEOUT_SECONDS, left_seconds)
             try:
-                answer = await link.call(
-                    RetriesAsked(name, retries), _ANSWER_TIMEOUT_SECONDS
-                )
+                answer = await link.call(RetriesAsked(name, retries), timeout)
                 lent = expect(answer, RetriesLent).retries
                 budgets.add_loan(name, lent, asked_at)
             except FleetError as error:
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import math
+import random
 from dataclasses import replace
+from types import SimpleNamespace
 
 import curio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bramleyglade_core.decisions.retry_budget import RetryBudget
+from bramleyglade_adapters.link.link import LinkLost
+from bramleyglade_core.decisions.retry_budget import RetryBudget, RetryBudgets
+from bramleyglade_core.model.errors import ErrorCode
 from bramleyglade_core.model.exchange import Header
 from bramleyglade_core.model.peer_messages import RetriesAsked, RetriesLent
 from bramleyglade_core.model.settings import FrontSettings
 from bramleyglade_core.model.verdict import Verdict
+from bramleyglade_daemon.front.retry_loans import RetryLoans
 from bramleyglade_standins.local_fleet import KEY
 
 WINDOW_SECONDS = 10.0
@@ -131,6 +136,35 @@
     run_fleet(scenario)
 
 
+class SlowLender:
+    """A link to a peer that lends nothing, after 0.04 s."""
+
+    def __init__(self, name, clock):
+        self.peer_name = name
+        self._clock = clock
+
+    async def call(self, message, timeout_seconds):
+        self._clock.advance(min(0.04, timeout_seconds))
+        if timeout_seconds < 0.04:
+            raise LinkLost(ErrorCode.PEER_LOST, "call timed out")
+        return RetriesLent(message.service, 0.0)
+
+
+def test_slow_lenders_together_hold_up_a_retry_no_longer_than_the_bound(clock):
+    """The last peer was given its whole time, however little was left."""
+    settings = FrontSettings(retry_share=0.0, retry_floor=1.0)
+    budgets = RetryBudgets(settings, started_at=clock())
+    links = [SlowLender(str(number), clock) for number in range(8)]
+    context = SimpleNamespace(
+        clock=clock, random=random.Random(1), retry_budgets=budgets
+    )
+    peers = SimpleNamespace(open_links=lambda: links, is_far=lambda link: False)
+    loans = RetryLoans(context, peers)
+    began_at = clock()
+    assert not curio.run(loans.try_spend, "s", Verdict.NOT_RUN)
+    assert clock() - began_at == pytest.approx(0.15)
+
+
 @pytest.mark.parametrize("message", [RetriesAsked, RetriesLent])
 @pytest.mark.parametrize("retries", [math.nan, math.inf, -1.0])
 def test_loan_of_no_sensible_number_is_not_decoded(message, retries):
