Count requests that admission rejects as demand of their zone

Only admitted requests counted, so the balance of zones saw a full zone as one with a demand of about its capacity, and moved too few requests to zones with free targets. A request counts if its own service is short; one that is rejected for a service further on its path needs capacity elsewhere. One case of the new test failed before.

--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -226,6 +226,9 @@
         if shortage is None:
             return
         self._context.telemetry.note_path_rejection(route.name, shortage.service)
+        if shortage.service == name:
+            # What is rejected for lack of capacity here may be served in other zones.
+            self._context.zone_loads.note_arrival(name, self._context.clock())
         raise AttemptError(
             ErrorCode.NO_CAPACITY,
             f"service {shortage.service} is short of capacity; expected wait "
--- a/tests/test_path_admission.py
+++ b/tests/test_path_admission.py
@@ -20,7 +20,7 @@
 from bramleyglade_core.decisions.directory import Candidate
 from bramleyglade_core.decisions.failure_filter import FailureFilter
 from bramleyglade_core.decisions.objective_queue import ObjectiveQueue
-from bramleyglade_core.decisions.path_admission import NewWork, PathAdmission
+from bramleyglade_core.decisions.path_admission import NewWork, PathAdmission, Shortage
 from bramleyglade_core.decisions.picker import Picker, PickOptions
 from bramleyglade_core.decisions.run_calls import RunCalls
 from bramleyglade_core.decisions.service_loads import (
@@ -588,3 +588,21 @@
         assert statuses == [200, 503]
 
     run_fleet(scenario, daemons=1, zones=1, ticket=two_priorities())
+
+
+@pytest.mark.parametrize(("short", "is_counted"), [("catalogue", True), ("x", False)])
+def test_rejected_request_counts_as_demand_for_the_service_that_is_short(
+    run_fleet, short, is_counted
+):
+    """The balance of zones saw no more demand than was admitted, and moved nothing."""
+
+    async def scenario(fleet):
+        front = fleet.daemons[0].front
+        shortage = Shortage(short, 2.0, 1.0, 0.5)
+        front.dispatcher.find_shortage = lambda *_: shortage
+        answer = await fleet.call(0, "GET", "/lookup/1")
+        assert answer.status == 503
+        services = fleet.daemons[0].context.zone_loads.home_services()
+        assert ("catalogue" in services) is is_counted
+
+    run_fleet(scenario)
