Keep no links to keepers in another region

Each front kept links to the keepers of all shards, 16 by default, in whatever region they are. With two regions that is about half of them for each daemon, beside the few relays; the keeper closed each after 5 s without use and the front opened it again. Links to far keepers are now opened when a share is asked for. The new test failed before.

--- a/packages/daemon/src/bramleyglade_daemon/front/link_opener.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/link_opener.py
@@ -9,6 +9,7 @@
 
 from bramleyglade_core.decisions.directory import RoutableTargets
 from bramleyglade_core.decisions.link_choice import LinkState, guards_to_link
+from bramleyglade_core.decisions.regions import Distance
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -106,8 +107,15 @@
                 del self._requested_at_by_service[name]
 
     def _keepers(self) -> set[str]:
-        """Return the keepers of teams' shares if they are few."""
+        """Return the keepers of teams' shares in the own region if they are few."""
         assignments = self._context.view.assignment_by_shard.values()
-        names = {assignment.keeper.name for assignment in assignments}
-        names.discard(self._context.settings.name)
+        record_by_name = self._context.directory.record_by_name
+        names = set()
+        for name in {assignment.keeper.name for assignment in assignments}:
+            record = record_by_name.get(name)
+            if name == self._context.settings.name or record is None:
+                continue
+            # All daemons would keep links to other regions, which close them when idle.
+            if self._context.distance_to(record.zone) is not Distance.OTHER_REGION:
+                names.add(name)
         return names if len(names) <= _MAX_KEEPERS else set()
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -13,6 +13,7 @@
 
 from bramleyglade_core.decisions.neighbours import Member, choose_neighbours, relays
 from bramleyglade_core.decisions.region_contact import RegionContact
+from bramleyglade_core.model.announcements import KeeperAssignment
 from bramleyglade_core.model.entities import Zone
 from bramleyglade_core.model.peer_messages import RegionHeard
 from bramleyglade_core.model.tickets import Ticket
@@ -159,6 +160,20 @@
     run_fleet(scenario, daemons=10, ticket=two_region_ticket())
 
 
+def test_links_to_keepers_in_another_region_are_not_kept(run_fleet):
+    """Each daemon kept links to all keepers, however few relays there were."""
+
+    async def scenario(fleet):
+        daemon = fleet.daemons[0]
+        for shard, other in enumerate(fleet.daemons):
+            assignment = KeeperAssignment(shard, other.context.daemon, epoch=1)
+            daemon.context.view.assignment_by_shard[shard] = assignment
+        # Daemons with an even number are in the region of the first one.
+        assert daemon.front.dispatcher.opener._keepers() == {"vm-2", "vm-4"}
+
+    run_fleet(scenario, daemons=6, ticket=two_region_ticket())
+
+
 def test_configuration_reaches_the_other_region_after_all_its_relays_are_lost(
     run_fleet,
 ):
