Don't tell a peer of a lost version whose entities it is not sent

A batch names the highest whole ticket, and its receiver drops all that the ticket supersedes. Within one era a batch without gaps contains the ticket's entities, or the receiver has had them. After a restoration the kept version has revision 0, so that a batch from a later revision names it without its entities: a daemon that had only the version before dropped that as well, served no team and no route, and did not fetch the lost version, as its own number was then as high.

Such a batch now names no whole ticket; one from revision 0, and the answer to how far a daemon is, still do.

--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -111,19 +111,37 @@
     def batch_after(self, revision: int) -> SharedBatch:
         """Return the changes that a peer at this revision of the era lacks."""
         assignments = self.assignment_by_shard.values()
+        states = self.configuration.states_after(revision)
+        whole_ticket = self.configuration.whole_ticket
+        if revision <= self.revision and not self._has_whole(revision):
+            # The peer may not have it, and would drop what it supersedes.
+            whole_ticket = 0
         return SharedBatch(
             after=revision,
             up_to=self.revision,
-            states=self.configuration.states_after(revision),
+            states=states,
             assignments=tuple(
                 a
                 for a in assignments
                 if a.revision > revision or (a.era < self.era and not revision)
             ),
-            whole_ticket=self.configuration.whole_ticket,
+            whole_ticket=whole_ticket,
             era=self.era,
         )
 
+    def _has_whole(self, revision: int) -> bool:
+        """Return whether a peer at this revision gets or has the whole ticket.
+
+        One of an earlier era is in the batch from the first revision only.
+        """
+        if not self.era or not revision:
+            return True
+        configuration = self.configuration
+        return not any(
+            state.ticket == configuration.whole_ticket and state.revision == 0
+            for state in configuration.state_by_key.values()
+        )
+
     def _apply_late(self, batch: SharedBatch, now: float) -> None:
         """Merge what operators wrote in the era before; it may be in force elsewhere.
 
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -33,6 +33,7 @@
 from bramleyglade_core.model.identifiers import DaemonId
 from bramleyglade_core.model.settings import OutagePolicy
 from bramleyglade_core.model.tickets import Ticket
+from bramleyglade_daemon.fleet.era_survey import NOTHING_AFTER
 
 TICK_SECONDS = 0.1
 CALL_TIMEOUT_SECONDS = 1.0
@@ -358,6 +359,30 @@
     assert list(view.configuration.team_by_name) == ["t6"]
 
 
+def test_lost_version_supersedes_nothing_where_it_has_not_arrived():
+    """A daemon would drop its version, and could not tell that it lacks the other."""
+    ahead, behind = SharedView(), SharedView()
+    for view, number in ((ahead, 2), (behind, 1)):
+        states = tuple(make_ticket(number).states(number))
+        view.apply(SharedBatch(0, number, states, (), number, era=1))
+        view.apply(SharedBatch(0, 1, era=2))
+    ahead.apply(SharedBatch(1, 2, era=2))
+    assert behind.apply(ahead.batch_after(1))
+    assert behind.revision == 2
+    assert behind.configuration.team_by_name
+    assert behind.configuration.whole_ticket == 1
+    assert behind.apply(ahead.batch_after(0))
+    assert behind.configuration.team_by_name == ahead.configuration.team_by_name
+
+
+def test_peer_that_asks_how_far_this_daemon_is_learns_of_a_lost_version():
+    view = SharedView()
+    view.apply(SharedBatch(0, 2, tuple(make_ticket(2).states(2)), (), 2, era=1))
+    view.apply(SharedBatch(0, 1, era=2))
+    told = view.batch_after(NOTHING_AFTER)
+    assert (told.states, told.whole_ticket) == ((), 2)
+
+
 def test_evidence_of_another_era_does_not_count():
     view = SharedView()
     view.apply(SharedBatch(0, 5, era=1))
