--- a/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/client_connection.py
@@ -59,6 +59,8 @@
         """Whether a write was begun and has not ended, or was cancelled."""
         self._fault = ""
         """Error that a write was told of, which no later read is told."""
+        self._unwritten: int | None = None
+        """Bytes left of a body with a length; None for one in chunks."""
         self.is_first_exchange = True
         """Whether no exchange on this connection has been finished yet."""
 
@@ -85,6 +87,7 @@
             target=target.encode("ascii"),
             headers=headers_to_wire(headers),
         )
+        self._unwritten = _body_length(request)
         data = self._protocol.send(request) or b""
         if not has_body:
             data += self._protocol.send(h11.EndOfMessage()) or b""
@@ -92,6 +95,8 @@
 
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the request's body."""
+        if self._unwritten is not None:
+            self._unwritten -= len(data)
         await self._send(self._protocol.send(h11.Data(data=data)) or b"")
 
     async def end_body(self) -> None:
@@ -173,7 +178,9 @@
         Raises:
             AnswerBroken: If the other direction of the connection says otherwise.
         """
-        is_written = self._protocol.our_state is not h11.SEND_BODY
+        # A target knows the end of a body with a length before `end_body` is called.
+        is_body_due = self._protocol.our_state is h11.SEND_BODY
+        is_written = not is_body_due or self._unwritten == 0
         fault = self._fault or sending_fault(self._sock)
         if not fault and (self._has_unsent or not is_written):
             fault = "the request's body was not written to its end"
@@ -207,6 +214,14 @@
             return AnswerBroken(code, str(error), Verdict.MAY_HAVE_RUN)
 
 
+def _body_length(request: h11.Request) -> int | None:
+    value_by_name = dict(request.headers)
+    if b"transfer-encoding" in value_by_name:
+        return None
+    length = value_by_name.get(b"content-length")
+    return None if length is None else int(length)
+
+
 def _without_overridden_length(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Drop the content length of an answer that has a transfer encoding.
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -169,6 +169,21 @@
     run(scenario, WITHOUT_LENGTH + PART)
 
 
+def test_body_is_whole_once_its_length_is_written():
+    """The end of an upload may come to this daemon later than the target's answer."""
+
+    async def scenario(server):
+        connection = await open_exchange(server, body_bytes=2)
+        await connection.send_body(b"12")
+        await server.sock.recv(2)
+        await server.sock.shutdown(socket.SHUT_WR)
+        assert await connection.receive() == AnswerEnded()
+        assert not connection.finish_exchange()
+        await connection.close()
+
+    run(scenario, WITHOUT_LENGTH + PART)
+
+
 FRAMED = {
     "length": (b"content-length: %d\r\n\r\n" % len(PART), b""),
     "chunked": (b"transfer-encoding: chunked\r\n\r\n14\r\n", b"\r\n0\r\n\r\n"),
