Grant no lease before the configuration is compared with a peer's

A daemon that starts in a later era of the store must not accept keys that a lost version has withdrawn, so it takes no lease before it has compared its configuration with a peer's. The comparison counted from its begin: while the peer had not answered, a read of the store renewed the lease. A lease that a peer told was adopted also if the comparison had failed, or before the first one.

A comparison now counts once it has ended, also a lease from a peer waits for one, and the first follows a pull in the same heartbeat. The time after which the store's version counts is as before, and so are stores without eras.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -73,6 +73,7 @@
         self._pulling_from: set[str] = set()
         self._compared_era_by_peer: dict[str, tuple[DaemonId, int]] = {}
         """Era in which the configuration was last compared with a peer's process."""
+        self._comparing_with: set[str] = set()
         self._started_at = context.clock()
         self._watchers: frozenset[str] = frozenset()
         self._watcher_version = -1
@@ -119,8 +120,10 @@
             return
         if answer.revision > view.revision:
             await self.pull(link)
-        elif answer.era:
+        if answer.era:
             await self._compare_configuration(link)
+        if self._awaits_configuration():
+            return
         if answer.lease_seconds > 0 and view.is_current(answer.revision, answer.era):
             self._context.lease.adopt(
                 sent_at, answer.lease_seconds, answer.fresh_seconds
@@ -362,7 +365,9 @@
         peer, era = link.peer.daemon, self._context.view.era
         if self._compared_era_by_peer.get(peer.name) == (peer, era):
             return
-        self._compared_era_by_peer[peer.name] = (peer, era)
+        if peer.name in self._comparing_with:
+            return
+        self._comparing_with.add(peer.name)
         own = self._context.configuration
         try:
             request = BatchAsked(NOTHING_AFTER if own.state_by_key else 0)
@@ -373,9 +378,11 @@
                 told = expect(answer, BatchTold)
             if not told.after:
                 await self.apply_batch(link, told)
+            self._compared_era_by_peer[peer.name] = (peer, era)
         except FleetError as error:
-            self._compared_era_by_peer.pop(peer.name, None)
             _LOG.info("PullFailed", extra={"peer": peer.name, "why": str(error)})
+        finally:
+            self._comparing_with.discard(peer.name)
 
     def _awaits_configuration(self) -> bool:
         """Return whether a peer may know a version that the store has lost.
--- /dev/null
+++ b/tests/test_configuration_comparison.py
@@ -0,0 +1,82 @@
+"""A daemon that starts in a later era of the store, and the versions its peers have.
+
+Guards against withdrawn keys that it accepts before it has compared its configuration
+with that of a peer.
+"""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+
+import curio
+import pytest
+
+from bramleyglade_adapters.telemetry import Telemetry
+from bramleyglade_core.model.errors import ErrorCode, FleetError
+from bramleyglade_core.model.identifiers import DaemonId
+from bramleyglade_core.model.peer_messages import BatchTold, HeartbeatAnswered
+from bramleyglade_daemon.fleet.context import Context
+from bramleyglade_daemon.fleet.peers import Peers
+from bramleyglade_daemon.fleet.shared_state import SharedState
+from bramleyglade_standins.memory_store import MemoryStore
+
+ERA = 2
+HEARTBEAT = HeartbeatAnswered(0, 0, 5.0, 5.0, era=ERA)
+
+
+class ComparedLink:
+    """A link to a peer that answers once the test says so, or is lost."""
+
+    peer_name = "vm-1"
+    peer = SimpleNamespace(daemon=DaemonId("vm-1", 1))
+
+    def __init__(self, answer=None):
+        self.asked = curio.Event()
+        self.may_answer = curio.Event()
+        self.answer = answer
+
+    async def call(self, message, timeout_seconds):
+        await self.asked.set()
+        await self.may_answer.wait()
+        if self.answer is None:
+            raise FleetError(ErrorCode.PEER_LOST, "the link is lost")
+        return self.answer
+
+
+@pytest.fixture
+def shared(settings, clock):
+    store = MemoryStore(era=ERA)
+    telemetry = Telemetry(settings, random.Random(1))
+    context = Context(settings, store, telemetry, clock=clock)
+    return SharedState(context, Peers(context))
+
+
+def test_no_lease_before_the_comparison_has_ended(shared):
+    told = BatchTold(0, 0, b"[]", b"[]", era=ERA)
+
+    async def main():
+        link = ComparedLink(told)
+        lease = shared._context.lease
+        heartbeat = await curio.spawn(
+            shared.apply_heartbeat_answer, link, HEARTBEAT, shared._context.clock()
+        )
+        await link.asked.wait()
+        await shared.read_now()
+        assert not lease.is_valid
+        await link.may_answer.set()
+        await heartbeat.join()
+        assert lease.is_valid
+
+    curio.run(main)
+
+
+def test_no_lease_from_a_peer_that_could_not_be_compared(shared):
+    async def main():
+        link = ComparedLink()
+        await link.may_answer.set()
+        sent_at = shared._context.clock()
+        await shared.apply_heartbeat_answer(link, HEARTBEAT, sent_at)
+        assert not shared._context.lease.is_valid
+
+    curio.run(main)
