Fetch lost changes from a peer also where no ticket is whole

The comparison at the begin of an era fetches the peer's states if its highest whole ticket is newer. In a store whose tickets are changes to single entities both numbers are 0, so that a daemon that had read the restored store first never learned of a lost change, and accepted the keys that it had withdrawn.

Without a whole ticket all states are asked for, once for each peer and era. The new test failed before.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -370,7 +370,8 @@
         self._comparing_with.add(peer.name)
         own = self._context.configuration
         try:
-            request = BatchAsked(NOTHING_AFTER if own.state_by_key else 0)
+            # Only a whole ticket's number shows whether the peer's version is newer.
+            request = BatchAsked(NOTHING_AFTER if own.whole_ticket else 0)
             answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
             told = expect(answer, BatchTold)
             if request.after and told.whole_ticket > own.whole_ticket:
--- a/tests/test_configuration_comparison.py
+++ b/tests/test_configuration_comparison.py
@@ -12,10 +12,15 @@
 import curio
 import pytest
 
+from bramleyglade_adapters.store.shared_objects import states_to_bytes
 from bramleyglade_adapters.telemetry import Telemetry
+from bramleyglade_core.decisions.admission import hash_key
+from bramleyglade_core.decisions.shared_view import SharedBatch
+from bramleyglade_core.model.entities import Team
 from bramleyglade_core.model.errors import ErrorCode, FleetError
 from bramleyglade_core.model.identifiers import DaemonId
 from bramleyglade_core.model.peer_messages import BatchTold, HeartbeatAnswered
+from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_daemon.fleet.context import Context
 from bramleyglade_daemon.fleet.peers import Peers
 from bramleyglade_daemon.fleet.shared_state import SharedState
@@ -80,3 +85,25 @@
         assert not shared._context.lease.is_valid
 
     curio.run(main)
+
+
+def test_lost_change_is_fetched_where_no_ticket_is_whole(shared):
+    """The number of the highest whole ticket is 0 at both, whatever the peer has."""
+    withdrawn = Ticket(2, entities=(Team("studio", 1.0, 1),))
+    states = states_to_bytes(tuple(withdrawn.states()))
+
+    class PeerLink(ComparedLink):
+        async def call(self, message, timeout_seconds):
+            return BatchTold(
+                message.after, 0, b"[]" if message.after else states, b"[]", era=ERA
+            )
+
+    async def main():
+        former = Ticket(1, entities=(Team("studio", 1.0, 1, (hash_key("key"),)),))
+        view = shared._context.view
+        view.apply(SharedBatch(0, 0, tuple(former.states()), era=ERA))
+        sent_at = shared._context.clock()
+        await shared.apply_heartbeat_answer(PeerLink(), HEARTBEAT, sent_at)
+        assert not view.configuration.team_by_name["studio"].key_hashes
+
+    curio.run(main)
