Release zones whose state has no revision of the era

A zone that is put back after a restoration is told to the neighbours from the revision before its state's. A state that a peer kept from an earlier era has revision 0, and -1 can't be encoded: the error ended the task that follows the store and renews the lease.

Such a batch now begins at revision 0. The new test failed before.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -404,7 +404,9 @@
         names = sorted(state.key.name for state in states)
         extra = {"zones": names, "era": view.era, "revision": view.revision}
         _LOG.warning("ZonesReleased", extra=extra)
-        changes = view.batch_after(min(state.revision for state in states) - 1)
+        # A state that was kept from an earlier era has revision 0.
+        before = min(state.revision for state in states) - 1
+        changes = view.batch_after(max(0, before))
         await self._peers.send_to_neighbours(_encode_batch(changes))
         if self.on_changed is not None:
             await self.on_changed()
--- a/tests/test_configuration_comparison.py
+++ b/tests/test_configuration_comparison.py
@@ -1,7 +1,7 @@
-"""A daemon that starts in a later era of the store, and the versions its peers have.
+"""What a daemon does with the configuration of its peers in a later era of the store.
 
 Guards against withdrawn keys that it accepts before it has compared its configuration
-with that of a peer.
+with that of a peer, and against zones that it can't put back.
 """
 
 from __future__ import annotations
@@ -12,11 +12,13 @@
 import curio
 import pytest
 
+from bramleyglade_adapters.link.link import encode_one_way
 from bramleyglade_adapters.store.shared_objects import states_to_bytes
 from bramleyglade_adapters.telemetry import Telemetry
 from bramleyglade_core.decisions.admission import hash_key
 from bramleyglade_core.decisions.shared_view import SharedBatch
-from bramleyglade_core.model.entities import Team
+from bramleyglade_core.decisions.store_era import ZONE_HOLD_SECONDS, observed_number
+from bramleyglade_core.model.entities import Team, Zone
 from bramleyglade_core.model.errors import ErrorCode, FleetError
 from bramleyglade_core.model.identifiers import DaemonId
 from bramleyglade_core.model.peer_messages import BatchTold, HeartbeatAnswered
@@ -107,3 +109,22 @@
         assert not view.configuration.team_by_name["studio"].key_hashes
 
     curio.run(main)
+
+
+def test_zone_without_a_revision_of_the_era_is_released(shared, clock):
+    """A peer that kept it from the era before tells it with revision 0."""
+    view = shared._context.view
+    sent = []
+
+    async def send(message, *args, **options):
+        sent.append(encode_one_way(message))
+
+    shared._peers.send_to_neighbours = send
+    out = Ticket(observed_number(1, 3), entities=(Zone("zone-a", "west", False),))
+    view.apply(SharedBatch(0, 3, tuple(out.states(3)), era=1), clock())
+    back = Ticket(observed_number(2, 3), entities=(Zone("zone-a", "west", True),))
+    view.apply(SharedBatch(0, 3, tuple(back.states(0)), era=3), clock())
+    clock.advance(ZONE_HOLD_SECONDS)
+    curio.run(shared._release_zones)
+    assert sent
+    assert view.configuration.is_zone_in_use("zone-a")
