--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -73,6 +73,7 @@
         self._pulling_from: set[str] = set()
         self._compared_era_by_peer: dict[str, tuple[DaemonId, int]] = {}
         """Era in which the configuration was last compared with a peer's process."""
+        self._comparing_with: set[str] = set()
         self._started_at = context.clock()
         self._watchers: frozenset[str] = frozenset()
         self._watcher_version = -1
@@ -119,8 +120,10 @@
             return
         if answer.revision > view.revision:
             await self.pull(link)
-        elif answer.era:
+        if answer.era:
             await self._compare_configuration(link)
+        if self._awaits_configuration():
+            return
         if answer.lease_seconds > 0 and view.is_current(answer.revision, answer.era):
             self._context.lease.adopt(
                 sent_at, answer.lease_seconds, answer.fresh_seconds
@@ -362,10 +365,13 @@
         peer, era = link.peer.daemon, self._context.view.era
         if self._compared_era_by_peer.get(peer.name) == (peer, era):
             return
-        self._compared_era_by_peer[peer.name] = (peer, era)
+        if peer.name in self._comparing_with:
+            return
+        self._comparing_with.add(peer.name)
         own = self._context.configuration
         try:
-            request = BatchAsked(NOTHING_AFTER if own.state_by_key else 0)
+            # Only a whole ticket's number shows whether the peer's version is newer.
+            request = BatchAsked(NOTHING_AFTER if own.whole_ticket else 0)
             answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
             told = expect(answer, BatchTold)
             if request.after and told.whole_ticket > own.whole_ticket:
@@ -373,9 +379,11 @@
                 told = expect(answer, BatchTold)
             if not told.after:
                 await self.apply_batch(link, told)
+            self._compared_era_by_peer[peer.name] = (peer, era)
         except FleetError as error:
-            self._compared_era_by_peer.pop(peer.name, None)
             _LOG.info("PullFailed", extra={"peer": peer.name, "why": str(error)})
+        finally:
+            self._comparing_with.discard(peer.name)
 
     def _awaits_configuration(self) -> bool:
         """Return whether a peer may know a version that the store has lost.
@@ -396,7 +404,9 @@
         names = sorted(state.key.name for state in states)
         extra = {"zones": names, "era": view.era, "revision": view.revision}
         _LOG.warning("ZonesReleased", extra=extra)
-        changes = view.batch_after(min(state.revision for state in states) - 1)
+        # A state that was kept from an earlier era has revision 0.
+        before = min(state.revision for state in states) - 1
+        changes = view.batch_after(max(0, before))
         await self._peers.send_to_neighbours(_encode_batch(changes))
         if self.on_changed is not None:
             await self.on_changed()
