Don't take a peer that measures no demand for an idle one

A report without demands from an older daemon, or from one that has not computed its zones yet, counted as a front without requests, so the demand of the zone was estimated too low. ZonesTold states now whether demand is measured; reports without that and without demands are ignored. One case of the new test failed before.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -114,6 +114,7 @@
 struct ZonesTold {
   demands @0 :List(ServiceDemandTold);
   loads @1 :List(ZoneLoadTold);
+  isMeasured @2 :Bool;
 }
 
 struct ServiceLoadTold {
--- a/packages/core/src/bramleyglade_core/decisions/zone_loads.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_loads.py
@@ -177,9 +177,9 @@
         recent = {p: t for p, t in self._told_at_by_peer.items() if now - t < 1.0}
         told_at = self._told_at_by_peer.get(peer, -math.inf)
         if now - told_at < _TELL_SECONDS or len(recent) >= _MAX_REPORTS_PER_SECOND:
-            return ZonesTold(demands)
+            return ZonesTold(demands, is_measured=True)
         self._told_at_by_peer = {**recent, peer: now}
-        return ZonesTold(demands, self.loads_to_tell(now))
+        return ZonesTold(demands, self.loads_to_tell(now), is_measured=True)
 
     def note_report(
         self,
@@ -204,7 +204,8 @@
             for demand in told.demands
             if demand.service in services and _is_rate(demand.per_second)
         }
-        self._demand_by_peer[peer] = _PeerDemand(zone, now, rates)
+        if told.is_measured or rates:
+            self._demand_by_peer[peer] = _PeerDemand(zone, now, rates)
         for load in told.loads:
             if load.zone not in configuration.zone_by_name:
                 continue
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -119,6 +119,8 @@
     demands: tuple[ServiceDemandTold, ...] = ()
     loads: tuple[ZoneLoadTold, ...] = ()
     """Some of the loads; empty in most messages."""
+    is_measured: bool = False
+    """Whether the sender measures its demand; if not, none reported doesn't mean 0."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_zone_balance.py
+++ b/tests/test_zone_balance.py
@@ -442,3 +442,20 @@
     assert ended.leaving_before == 1.0 - left.share_by_zone["a1"]
     (again,) = balance.update({"s": loads}, REGIONS, {"s": OBJECTIVE_SECONDS}, {})
     assert again.leaving_before == 0.0
+
+
+@pytest.mark.parametrize(
+    ("told", "low", "high"),
+    [
+        (ZonesTold(), 15.0, 25.0),
+        (ZonesTold(is_measured=True), 7.0, 13.0),
+    ],
+)
+def test_peer_that_does_not_measure_its_demand_is_not_taken_for_idle(told, low, high):
+    """An older daemon, or one that has just started, counted as one without demand."""
+    loads = ZoneLoads("a1")
+    for tenth in range(200):
+        loads.note_arrival("s", tenth / 10)
+    loads.note_report("a1-1", "a1", told, CONFIGURATION, 20.0)
+    loads.measure_home({"s": ()}, {}, lambda _: None, 2, 20.0)
+    assert low < loads.loads_by_service(20.0)["s"]["a1"].demand < high
