Prefer a free target with a link to a dial in all zones

With the link of the best target missing, the other pick could fall on a full target of the home zone, which costs less than the way to another zone; the request then waited for a dial although a linked target in a third zone was free. Free targets with a link are now compared first. The new test failed before.

--- a/packages/core/src/bramleyglade_core/decisions/link_choice.py
+++ b/packages/core/src/bramleyglade_core/decisions/link_choice.py
@@ -79,7 +79,12 @@
     others = []
     for wanted in usable:
         among = [c for c in candidates if state_of(c) is wanted]
-        pick = picker.pick(among, tried, options)
+        # A wait in a near zone may be shorter than the way to a free target, but not
+        # than a dial.
+        free = [c for c in among if picker.is_free(c, options.now)]
+        pick = picker.pick(free, tried, options)
+        if pick is None or (pick.is_last_resort and not best.is_last_resort):
+            pick = picker.pick(among, tried, options)
         if pick is not None and (best.is_last_resort or not pick.is_last_resort):
             others.append(pick)
     for pick in others:
--- a/packages/core/src/bramleyglade_core/decisions/picker.py
+++ b/packages/core/src/bramleyglade_core/decisions/picker.py
@@ -396,7 +396,7 @@
             return False
         if not options.may_probe and (view.is_ejected or not view.is_overdue):
             return False
-        return self._is_free(candidate, options.now)
+        return self.is_free(candidate, options.now)
 
     def _is_avoided(self, target: TargetId, now: float) -> bool:
         avoidance = self._avoidance_by_target.get(target)
@@ -406,7 +406,7 @@
         self, candidate: Candidate, options: PickOptions, reason: ZoneReason
     ) -> Pick:
         view = self.view_by_target.get(candidate.target)
-        is_free = self._is_free(candidate, options.now)
+        is_free = self.is_free(candidate, options.now)
         most_risk = _DEFAULT_MAX_RISK
         if view is not None:
             risk = decayed_risk(view.risk, options.now - view.received_at)
@@ -435,7 +435,7 @@
         """Return whether a target is in the front's own region."""
         return self.plan.is_same_region(candidate.zone, self._zone)
 
-    def _is_free(self, candidate: Candidate, now: float) -> bool:
+    def is_free(self, candidate: Candidate, now: float) -> bool:
         """Return whether a target is estimated to start a request at once."""
         in_flight = self._in_flight_by_target.get(candidate.target, 0)
         view = self.view_by_target.get(candidate.target)
@@ -549,7 +549,7 @@
         least = min(cost for cost, _ in costs)
         bound = least + _COST_TOLERANCE_SECONDS
         best = [c for cost, c in costs if cost <= bound]
-        free = [c for c in best if self._is_free(c, options.now)]
+        free = [c for c in best if self.is_free(c, options.now)]
         return self._random.choice(free or best), least
 
     def _typical(self, candidates: Sequence[Candidate], now: float) -> float:
--- a/tests/test_links_of_requests.py
+++ b/tests/test_links_of_requests.py
@@ -18,6 +18,7 @@
     pick_by_link,
 )
 from bramleyglade_core.decisions.picker import Picker, PickOptions
+from bramleyglade_core.decisions.zone_balance import ZonePlan
 from bramleyglade_core.model.announcements import TargetAnnouncement
 from bramleyglade_core.model.entities import Zone
 from bramleyglade_core.model.identifiers import Address, TargetId
@@ -81,6 +82,33 @@
         assert state is not LinkState.FAILED
 
 
+def test_free_target_of_another_zone_is_used_rather_than_a_dial():
+    """A full target at home was compared with the dial, and the free one not seen."""
+    shares = {"s": {"zone-0": 0.0, "zone-1": 1.0}}
+    picker = Picker("zone-0", random.Random(1))
+    picker.plan = ZonePlan({}, {}, shares)
+    home, unlinked, free = (
+        replace(candidate, zone=zone)
+        for candidate, zone in zip(
+            make_candidates(3), ("zone-0", "zone-1", "zone-2"), strict=True
+        )
+    )
+    for candidate, busy in ((home, SLOTS), (unlinked, 0), (free, 0)):
+        name = candidate.target.name
+        view = TargetViewTold(name, "s", SLOTS, busy, False, False, log_latency=-4.0)
+        picker.update_views(candidate.target.daemon, (view,), 100.0)
+    state_by_zone = {"zone-1": LinkState.MISSING}
+    picked = pick_by_link(
+        picker,
+        (home, unlinked, free),
+        (),
+        PickOptions(100.0, objective_seconds=2.0),
+        lambda c: state_by_zone.get(c.zone, LinkState.READY),
+    )
+    assert picked.pick is not None
+    assert picked.pick.candidate == free
+
+
 @pytest.mark.parametrize(("home", "expected"), [(3, "zone-0"), (0, "zone-1")])
 def test_links_are_opened_in_advance_in_the_own_region_if_it_has_targets(
     settings, home, expected
