Don't reject for a full zone while another one has capacity left

Where the loads of the zones show one with capacity left after its own demand, the request is admitted. The test fails without the method.

--- a/packages/core/src/bramleyglade_core/decisions/zone_loads.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_loads.py
@@ -61,6 +61,10 @@
 _LATENCY_GAIN = 0.2
 """Weight of a new round trip in the average of its zone."""
 
+_SPARE_LEVEL = 0.75
+"""Utilization below which a zone counts as one with capacity to spare; up to it, a zone
+also keeps its own requests."""
+
 _ROUND_TRIP_SECONDS = 30.0
 """Time without a new round trip after which the average of a zone is dropped. Most
 daemons send heartbeats to another region only while they send requests there."""
@@ -281,6 +285,19 @@
                 loads[service][zone] = ZoneLoad(known.demand, known.capacity, age)
         return dict(loads)
 
+    def has_spare_elsewhere(self, service: str, now: float) -> bool:
+        """Return whether another zone has capacity left after its own demand.
+
+        Args:
+            service: The service.
+            now: Time of this process's clock, in seconds.
+        """
+        load_by_zone = self.loads_by_service(now, (service,)).get(service, {})
+        return any(
+            zone != self._home and load.demand < _SPARE_LEVEL * load.capacity
+            for zone, load in load_by_zone.items()
+        )
+
     def loads_to_tell(self, now: float) -> tuple[ZoneLoadTold, ...]:
         """Return loads for the neighbours; in turn, if there are too many."""
         keys = sorted(self._load_by_key)
--- a/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/dispatcher.py
@@ -124,7 +124,14 @@
             return None
         level = bisect_left(priorities, priority)
         work = NewWork(service, priority, level, seconds_left, route)
-        return self._path_admission.find_shortage(work, self._context.clock())
+        now = self._context.clock()
+        shortage = self._path_admission.find_shortage(work, now)
+        # Most views of a front are of targets in its own zone.
+        if shortage is None or self._context.zone_loads.has_spare_elsewhere(
+            shortage.service, now
+        ):
+            return None
+        return shortage
 
     def expected_times(self, service: str) -> ExpectedTimes:
         """Return how long an answer of a service is expected to take now."""
--- a/tests/test_zone_balance.py
+++ b/tests/test_zone_balance.py
@@ -392,6 +392,20 @@
     assert 12.0 < load.demand < 18.0
 
 
+def test_zone_with_capacity_left_after_its_own_demand_is_known():
+    """A front whose own zone was full refused requests that another could serve."""
+    loads = ZoneLoads("a1")
+    full = ZoneLoadTold("a1", "s", 9.0, 2.0, 0.5)
+    busy = ZoneLoadTold("a2", "s", 1.6, 2.0, 0.5)
+    loads.note_report("vm", "a2", ZonesTold((), (full, busy)), CONFIGURATION, 10.0)
+    assert not loads.has_spare_elsewhere("s", 10.0)
+    spare = ZoneLoadTold("a2", "s", 1.0, 2.0, 0.1)
+    loads.note_report("vm", "a2", ZonesTold((), (spare,)), CONFIGURATION, 11.0)
+    assert loads.has_spare_elsewhere("s", 11.0)
+    assert not loads.has_spare_elsewhere("x", 11.0)
+    assert not loads.has_spare_elsewhere("s", 30.0)
+
+
 def test_report_of_loads_that_is_out_of_range_or_unknown_is_ignored():
     """Guards against an older or newer daemon whose values would move requests."""
     loads = ZoneLoads("a1")
