Push views of targets to other zones only where requests come from

Links to all guards of the region are open in advance since, and each view that a failing target's guard pushes went to 64 of them. Peers in other zones now get it if they are neighbours or have sent a request here in the last 30 s, for which links stayed open before. The test fails without the change.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -232,22 +232,27 @@
                 await link.send_encoded(data, type(message).__name__)
 
     async def send_to_linked_peers(self, message: Any) -> None:
-        """Send a message to all linked peers, or to a random sample if there are many.
+        """Send a message to linked peers, or to a random sample if there are many.
 
-        A peer that sends requests here, or may be sent some, has a link. Peers in
-        other regions get it only if they have just sent a request.
+        Peers in other zones get it only if they are neighbours or have sent requests
+        here. Most of their links are opened in advance and never used.
         """
-        links = [
-            link
-            for link in self.open_links()
-            if not self.is_far(link) or self.is_recent_sender(link)
-        ]
+        links = [link for link in self.open_links() if self._gets_views(link)]
         if len(links) > _MAX_RECIPIENTS:
             links = self._context.random.sample(links, _MAX_RECIPIENTS)
         data = encode_one_way(message)
         for link in links:
             await link.send_encoded(data, type(message).__name__)
 
+    def _gets_views(self, link: Link) -> bool:
+        assert link.peer is not None
+        distance = self._context.distance_to(link.peer.record.zone)
+        if distance is Distance.OTHER_REGION:
+            return self.is_recent_sender(link)
+        if distance is Distance.SAME_ZONE or self.is_neighbour(link):
+            return True
+        return self._seconds_since_offer(link) < _IDLE_TIMEOUT_SECONDS
+
     def note_offer(self, link: Link) -> None:
         """Record that a peer has offered an attempt."""
         self._offered_at_by_name[link.peer_name] = self._context.clock()
@@ -257,8 +262,11 @@
         bound = _RECENT_SENDER_SECONDS
         if self.is_far(link):
             bound = _RECENT_FAR_SENDER_SECONDS
+        return self._seconds_since_offer(link) < bound
+
+    def _seconds_since_offer(self, link: Link) -> float:
         offered_at = self._offered_at_by_name.get(link.peer_name, float("-inf"))
-        return self._context.clock() - offered_at < bound
+        return self._context.clock() - offered_at
 
     def is_far(self, link: Link) -> bool:
         """Return whether a link leads to another region."""
--- a/tests/test_links_of_requests.py
+++ b/tests/test_links_of_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from dataclasses import replace
 
@@ -22,7 +23,7 @@
 from bramleyglade_core.model.announcements import TargetAnnouncement
 from bramleyglade_core.model.entities import Zone
 from bramleyglade_core.model.identifiers import Address, TargetId
-from bramleyglade_core.model.peer_messages import TargetViewTold
+from bramleyglade_core.model.peer_messages import LookAsked, TargetViewTold
 from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_standins.local_fleet import SilentSocket
 
@@ -225,3 +226,29 @@
         )
 
     run_fleet(scenario, daemons=4)
+
+
+def test_views_are_pushed_to_other_zones_only_where_requests_come_from(run_fleet):
+    """Each view went to 64 peers in all zones once links were opened in advance."""
+
+    async def scenario(fleet):
+        peers = fleet.daemons[0].peers
+        peers.set_neighbours([])
+        await fleet.wait_until(lambda: len(peers.open_links()) == 3)
+        sent = []
+        for link in peers.open_links():
+            link.send_encoded = functools.partial(note_sent, sent, link.peer_name)
+        await peers.send_to_linked_peers(LookAsked("vm-1"))
+        zone = fleet.settings[0].zone
+        same_zone = {s.name for s in fleet.settings[1:] if s.zone == zone}
+        assert set(sent) == same_zone
+        other = next(s.name for s in fleet.settings if s.zone != zone)
+        peers.note_offer(peers.link_to(other))
+        await peers.send_to_linked_peers(LookAsked("vm-1"))
+        assert set(sent) == {*same_zone, other}
+
+    run_fleet(scenario, daemons=4)
+
+
+async def note_sent(sent, name, data, kind):
+    sent.append(name)
