Zone loads: no work over all zones at each heartbeat or refusal

Loads were kept in one table of services and zones. Each refused request walked over all of it, each heartbeat sorted the rates of all services, and each report sorted all keys. They are now kept by service, the keys are sorted after one was added or dropped, and a report of the own demand is sent to all peers for 0.25 s.

Measured by the new tests: peers that ask within 0.25 s get the same report.

--- a/packages/core/src/bramleyglade_core/decisions/zone_loads.py
+++ b/packages/core/src/bramleyglade_core/decisions/zone_loads.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Container, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.decisions.directory import Candidate
@@ -29,6 +29,9 @@
 _LEAST_DEMAND = 0.01
 """Rate in requests per second below which a front reports no demand."""
 
+_DEMAND_REPORT_SECONDS = 0.25
+"""Time for which a report of the demand is sent to all peers before it is renewed."""
+
 _MAX_DEMANDS = 64
 """Services in one report of a front's demand; those with the highest rates go first."""
 
@@ -124,8 +127,11 @@
         """Whether there is more than one zone, so that peers get reports."""
         self._meter_by_service: dict[str, RateMeter] = {}
         self._demand_by_peer: dict[str, _PeerDemand] = {}
-        self._load_by_key: dict[tuple[str, str], _KnownLoad] = {}
-        """By service and zone."""
+        self._load_by_zone_by_service: dict[str, dict[str, _KnownLoad]] = {}
+        self._sorted_keys: list[tuple[str, str]] | None = None
+        """Services and zones with a load; None after one was added or dropped."""
+        self._own_demands: tuple[float, tuple[ServiceDemandTold, ...]] | None = None
+        """The last report of the own demand, and when it was made."""
         self._round_trip_by_zone: dict[str, _RoundTrip] = {}
         self._next_told = 0
         """Index of the first load of the next report."""
@@ -163,6 +169,10 @@
 
     def own_demands(self, now: float) -> tuple[ServiceDemandTold, ...]:
         """Return the demand at this front, for its peers."""
+        if self._own_demands is not None:
+            made_at, demands = self._own_demands
+            if 0 <= now - made_at < _DEMAND_REPORT_SECONDS:
+                return demands
         rates = []
         for service, meter in list(self._meter_by_service.items()):
             rate = meter.per_second(now)
@@ -171,7 +181,9 @@
             else:
                 rates.append((rate, service))
         rates.sort(reverse=True)
-        return tuple(ServiceDemandTold(s, rate) for rate, s in rates[:_MAX_DEMANDS])
+        demands = tuple(ServiceDemandTold(s, rate) for rate, s in rates[:_MAX_DEMANDS])
+        self._own_demands = (now, demands)
+        return demands
 
     def report_for(self, peer: str, now: float) -> ZonesTold:
         """Return the report for a peer; the loads are in it once in a while."""
@@ -219,9 +231,9 @@
                 continue
             if not 0 <= load.age_seconds < MAX_LOAD_AGE_SECONDS:
                 continue
-            key = (load.service, load.zone)
             measured_at = now - load.age_seconds
-            self._blend(key, _KnownLoad(load.demand, load.capacity, measured_at))
+            known = _KnownLoad(load.demand, load.capacity, measured_at)
+            self._blend(load.service, load.zone, known)
 
     def measure_home(
         self,
@@ -261,14 +273,14 @@
             demand = demand_by_service.get(service, 0.0)
             if demand or own:
                 load = _KnownLoad(demand, capacity, now)
-                self._blend((service, self._home), load, weight)
+                self._blend(service, self._home, load, weight)
 
     def front_loads(self, now: float) -> dict[str, dict[str, ZoneLoad]]:
         """Return the loads of the services that requests arrive for at this front."""
         return self.loads_by_service(now, self._meter_by_service)
 
     def loads_by_service(
-        self, now: float, services: Container[str] | None = None
+        self, now: float, services: Iterable[str] | None = None
     ) -> dict[str, dict[str, ZoneLoad]]:
         """Return the known loads that are not too old, by service and zone.
 
@@ -276,14 +288,22 @@
             now: Time of this process's clock, in seconds.
             services: Services to return; None for all.
         """
-        loads: defaultdict[str, dict[str, ZoneLoad]] = defaultdict(dict)
-        for (service, zone), known in self._load_by_key.items():
-            if services is not None and service not in services:
-                continue
+        if services is None:
+            services = self._load_by_zone_by_service
+        loads = {}
+        for service in services:
+            load_by_zone = self._load_by_zone(service, now)
+            if load_by_zone:
+                loads[service] = load_by_zone
+        return loads
+
+    def _load_by_zone(self, service: str, now: float) -> dict[str, ZoneLoad]:
+        load_by_zone = {}
+        for zone, known in self._load_by_zone_by_service.get(service, {}).items():
             age = max(0.0, now - known.measured_at)
             if age < MAX_LOAD_AGE_SECONDS:
-                loads[service][zone] = ZoneLoad(known.demand, known.capacity, age)
-        return dict(loads)
+                load_by_zone[zone] = ZoneLoad(known.demand, known.capacity, age)
+        return load_by_zone
 
     def has_spare_elsewhere(self, service: str, now: float) -> bool:
         """Return whether another zone has capacity left after its own demand.
@@ -292,22 +312,28 @@
             service: The service.
             now: Time of this process's clock, in seconds.
         """
-        load_by_zone = self.loads_by_service(now, (service,)).get(service, {})
         return any(
             zone != self._home and load.demand < _SPARE_LEVEL * load.capacity
-            for zone, load in load_by_zone.items()
+            for zone, load in self._load_by_zone(service, now).items()
         )
 
     def loads_to_tell(self, now: float) -> tuple[ZoneLoadTold, ...]:
         """Return loads for the neighbours; in turn, if there are too many."""
-        keys = sorted(self._load_by_key)
+        keys = self._sorted_keys
+        if keys is None:
+            keys = self._sorted_keys = sorted(
+                (service, zone)
+                for service, load_by_zone in self._load_by_zone_by_service.items()
+                for zone in load_by_zone
+            )
         if len(keys) > _MAX_LOADS_TOLD:
             start = self._next_told % len(keys)
             self._next_told = start + _MAX_LOADS_TOLD
-            keys = (keys + keys)[start : start + _MAX_LOADS_TOLD]
+            end = start + _MAX_LOADS_TOLD
+            keys = keys[start:end] + keys[: max(0, end - len(keys))]
         told = []
         for service, zone in keys:
-            known = self._load_by_key[service, zone]
+            known = self._load_by_zone_by_service[service][zone]
             age = max(0.0, now - known.measured_at)
             if age < MAX_LOAD_AGE_SECONDS:
                 load = ZoneLoadTold(zone, service, known.demand, known.capacity, age)
@@ -337,17 +363,20 @@
         return {service: scale * rate for service, rate in total.items()}
 
     def _blend(
-        self, key: tuple[str, str], load: _KnownLoad, weight: float = 1.0
+        self, service: str, zone: str, load: _KnownLoad, weight: float = 1.0
     ) -> None:
-        known = self._load_by_key.get(key)
+        load_by_zone = self._load_by_zone_by_service.setdefault(service, {})
+        known = load_by_zone.get(zone)
+        if known is None:
+            self._sorted_keys = None
         if known is None or load.measured_at - known.measured_at > _BLEND_SECONDS * 3:
-            self._load_by_key[key] = load
+            load_by_zone[zone] = load
             return
         elapsed = load.measured_at - known.measured_at
         if elapsed < _LEAST_NEWER_SECONDS:
             return
         gain = -weight * math.expm1(-elapsed / _BLEND_SECONDS)
-        self._load_by_key[key] = _KnownLoad(
+        load_by_zone[zone] = _KnownLoad(
             known.demand + gain * (load.demand - known.demand),
             known.capacity + gain * (load.capacity - known.capacity),
             load.measured_at,
@@ -355,9 +384,13 @@
 
     def _drop_old(self, now: float) -> None:
         oldest = now - MAX_LOAD_AGE_SECONDS
-        for key, load in list(self._load_by_key.items()):
-            if load.measured_at < oldest:
-                del self._load_by_key[key]
+        for service, load_by_zone in list(self._load_by_zone_by_service.items()):
+            for zone, load in list(load_by_zone.items()):
+                if load.measured_at < oldest:
+                    del load_by_zone[zone]
+                    self._sorted_keys = None
+            if not load_by_zone:
+                del self._load_by_zone_by_service[service]
         for peer, demand in list(self._demand_by_peer.items()):
             if demand.received_at < oldest:
                 del self._demand_by_peer[peer]
--- a/tests/test_zone_balance.py
+++ b/tests/test_zone_balance.py
@@ -436,6 +436,30 @@
         assert sum(bool(report.loads) for report in told) <= 8
 
 
+def test_demand_is_computed_once_for_the_heartbeats_of_many_peers():
+    """Each heartbeat of each neighbour sorted the rates of all services again."""
+    loads = ZoneLoads("a1")
+    loads.note_arrival("s", 10.0)
+    demands = loads.own_demands(10.0)
+    assert loads.own_demands(10.2) is demands
+    loads.note_arrival("s", 10.3)
+    (renewed,) = loads.own_demands(10.3)
+    assert renewed.per_second > demands[0].per_second
+
+
+def test_more_loads_than_fit_into_a_report_are_told_in_turn():
+    """The last services by name would never have left their zone."""
+    names = [f"s{n:03}" for n in range(300)]
+    services = tuple(Service(name, ("a2",)) for name in names)
+    configuration = CONFIGURATION.merged(Ticket(2, "", services).states())
+    loads = ZoneLoads("a1")
+    known = tuple(ZoneLoadTold("a2", name, 1.0, 2.0, 0.0) for name in names)
+    loads.note_report("vm", "a2", ZonesTold((), known), configuration, 10.0)
+    reports = [loads.loads_to_tell(10.0) for _ in range(2)]
+    assert [len(report) for report in reports] == [256, 256]
+    assert {load.service for report in reports for load in report} == set(names)
+
+
 def test_zone_that_was_slow_once_is_measured_again():
     """A region over a saturated link got no request, and so no new round trip."""
     loads = ZoneLoads("a1")
