Service loads: one report for all neighbours

Each heartbeat of each neighbour made the sums over all targets of up to 32 services again. A report is now used for 0.25 s, as the own estimates are.

Measured by the new test: neighbours that ask within 0.25 s get the same report.

--- a/packages/core/src/bramleyglade_core/decisions/service_loads.py
+++ b/packages/core/src/bramleyglade_core/decisions/service_loads.py
@@ -92,6 +92,8 @@
         self._random = random_source
         self._load_by_service: dict[str, tuple[float, ServiceLoad | None]] = {}
         self._told_by_peer: dict[str, tuple[float, tuple[ServiceLoadTold, ...]]] = {}
+        self._own_told: tuple[float, tuple[ServiceLoadTold, ...]] | None = None
+        """The last report to peers, and when it was made."""
 
     def load(self, service: str, now: float) -> ServiceLoad | None:
         """Return the estimated load of a service; None if too little is known.
@@ -117,14 +119,22 @@
             self._calls.learn(told.service, told.calls)
 
     def told(self, now: float) -> tuple[ServiceLoadTold, ...]:
-        """Return the sums over the own views of services in use here, for peers."""
+        """Return the sums over the own views of services in use here, for peers.
+
+        All peers get the same report for `_SUMMARY_SECONDS`, so that its cost doesn't
+        grow with their number.
+        """
+        if self._own_told is not None and now - self._own_told[0] < _SUMMARY_SECONDS:
+            return self._own_told[1]
         horizon = now - _MAX_TOLD_AGE_SECONDS
         for table in (self._load_by_service, self._told_by_peer):
             for key in [k for k, entry in table.items() if entry[0] < horizon]:
                 del table[key]
         services = list(self._load_by_service)[:_MAX_TOLD_SERVICES]
         sums = (self._observe(service, now) for service in services)
-        return tuple(told for told in sums if told is not None)
+        report = tuple(told for told in sums if told is not None)
+        self._own_told = (now, report)
+        return report
 
     def _estimate(self, service: str, now: float) -> ServiceLoad | None:
         samples = [] if (own := self._observe(service, now)) is None else [own]
--- a/tests/test_path_admission.py
+++ b/tests/test_path_admission.py
@@ -479,6 +479,16 @@
     assert loads.load("s", 3.0) is None
 
 
+def test_report_is_made_once_for_the_heartbeats_of_many_neighbours(make_loads):
+    """Each heartbeat of each neighbour walked over all targets again."""
+    loads = make_loads(targets=20, viewed=20)
+    loads.load("s", 0.5)
+    told = loads.told(0.5)
+    assert [report.service for report in told] == ["s"]
+    assert loads.told(0.7) is told
+    assert loads.told(0.8) is not told
+
+
 @pytest.mark.parametrize(
     "changes",
     [
