Links opened in advance: a bound for all services together

A front opened up to 128 links for each service that it had requests for, with no bound over all services, and chose the guards of all services again four times a second. It now opens 256 at most, as many of each service as fit, and chooses a service's guards again only once its targets or the configuration change.

Measured by the new test: 10 services with 100 guards each asked for 1000 links before, 256 now, with 25 or more of each service.

--- a/packages/core/src/bramleyglade_core/decisions/link_choice.py
+++ b/packages/core/src/bramleyglade_core/decisions/link_choice.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from itertools import zip_longest
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.decisions.picker import Pick
@@ -11,7 +12,7 @@
 from bramleyglade_core.decisions.rendezvous import rank
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Container, Iterable, Sequence
+    from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 
     from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.decisions.directory import Candidate
@@ -23,6 +24,10 @@
 """Links that a front opens in advance for one service. Each front of a larger service
 opens another part; together they open links to all targets."""
 
+_MAX_LINKS = 256
+"""Links that a front opens in advance for all services together. Handshakes and kept
+links cost CPU time and memory on both VMs; requests to the other guards open theirs."""
+
 
 class LinkState(Enum):
     """State of the link from a front to a guard."""
@@ -108,7 +113,8 @@
         settings: This daemon's settings.
 
     Returns:
-        Names of the daemons in the front's own region; of all of them if none is there.
+        Names of the daemons in the front's own region, of all of them if none is there;
+        in an order that differs between fronts.
     """
     near: set[str] = set()
     far: set[str] = set()
@@ -117,6 +123,53 @@
         is_far = distance is Distance.OTHER_REGION
         (far if is_far else near).add(candidate.target.daemon)
     names = (near or far) - {settings.name}
-    if len(names) > _MAX_LINKS_PER_SERVICE:
-        return rank(settings.name, names)[:_MAX_LINKS_PER_SERVICE]
-    return sorted(names)
+    return rank(settings.name, names)[:_MAX_LINKS_PER_SERVICE]
+
+
+class GuardLinks:
+    """Chooses the guards of all services that a front keeps links to.
+
+    The guards of a service are computed again only when its targets have changed.
+    """
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self._settings = settings
+        self._configuration: Configuration | None = None
+        self._guards_by_service: dict[str, tuple[Sequence[Candidate], list[str]]] = {}
+
+    def choose(
+        self,
+        candidates_by_service: Mapping[str, Sequence[Candidate]],
+        configuration: Configuration,
+    ) -> set[str]:
+        """Return the guards to keep links to, as many of each service if not all.
+
+        Args:
+            candidates_by_service: Targets of the services in use; the same object until
+                they change.
+            configuration: The configuration in force.
+
+        Returns:
+            Names of daemons, `_MAX_LINKS` at most.
+        """
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._guards_by_service.clear()
+        for service in list(self._guards_by_service):
+            if service not in candidates_by_service:
+                del self._guards_by_service[service]
+        lists = []
+        for service, candidates in candidates_by_service.items():
+            known = self._guards_by_service.get(service)
+            if known is None or known[0] is not candidates:
+                names = guards_to_link(candidates, configuration, self._settings)
+                known = self._guards_by_service[service] = (candidates, names)
+            lists.append(known[1])
+        chosen: set[str] = set()
+        for of_one_rank in zip_longest(*lists):
+            for name in of_one_rank:
+                if name is not None:
+                    chosen.add(name)
+                    if len(chosen) >= _MAX_LINKS:
+                        return chosen
+        return chosen
--- a/packages/daemon/src/bramleyglade_daemon/front/link_opener.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/link_opener.py
@@ -8,7 +8,7 @@
 import curio
 
 from bramleyglade_core.decisions.directory import RoutableTargets
-from bramleyglade_core.decisions.link_choice import LinkState, guards_to_link
+from bramleyglade_core.decisions.link_choice import GuardLinks, LinkState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -46,6 +46,10 @@
         self._context = context
         self._peers = peers
         self._routable = RoutableTargets(context.directory, context.settings)
+        self._early_links = GuardLinks(context.settings)
+        """Links for all services, before the first request."""
+        self._links = GuardLinks(context.settings)
+        """Links for the services in use."""
         self._requested_at_by_service: dict[str, float] = {}
         self._missing: set[str] = set()
 
@@ -81,22 +85,20 @@
         self._forget_unused()
         services = self._context.configuration.service_by_name
         if len(services) <= _MAX_EARLY_SERVICES:
-            of_all = self._guards_of(services)
+            of_all = self._choose(self._early_links, services)
             if len(of_all) <= _MAX_EARLY_LINKS:
                 return of_all
-        return self._guards_of(self._requested_at_by_service)
+        return self._choose(self._links, self._requested_at_by_service)
 
-    def _guards_of(self, services: Iterable[str]) -> set[str]:
+    def _choose(self, links: GuardLinks, services: Iterable[str]) -> set[str]:
         configuration = self._context.configuration
-        names: set[str] = set()
-        for name in services:
-            candidates = self._routable.find(
+        candidates_by_service = {
+            name: self._routable.find(
                 configuration.service_by_name[name], configuration
             )
-            names.update(
-                guards_to_link(candidates, configuration, self._context.settings)
-            )
-        return names
+            for name in services
+        }
+        return links.choose(candidates_by_service, configuration)
 
     def _forget_unused(self) -> None:
         now = self._context.clock()
--- a/tests/test_links_of_requests.py
+++ b/tests/test_links_of_requests.py
@@ -5,15 +5,18 @@
 import functools
 import random
 from dataclasses import replace
+from unittest.mock import Mock
 
 import curio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bramleyglade_core.decisions import link_choice
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
 from bramleyglade_core.decisions.directory import Candidate
 from bramleyglade_core.decisions.link_choice import (
+    GuardLinks,
     LinkState,
     guards_to_link,
     pick_by_link,
@@ -138,6 +141,35 @@
     assert len(linked) == 300
 
 
+def test_links_of_many_services_are_bounded_and_shared_among_them(settings):
+    """Links opened in advance grew with the number of services a front serves."""
+    of_service = {}
+    for index in range(10):
+        of_service[f"s-{index}"] = [
+            replace(c, target=TargetId(f"vm-{index}-{c.target.name}", "t"))
+            for c in make_candidates(100)
+        ]
+    names = GuardLinks(settings).choose(of_service, EMPTY_CONFIGURATION)
+    assert len(names) == 256
+    for candidates in of_service.values():
+        assert len({c.target.daemon for c in candidates} & names) >= 25
+
+
+def test_guards_of_a_service_are_chosen_again_once_its_targets_change(
+    settings, monkeypatch
+):
+    """The guards of all services were sorted four times a second."""
+    choose = Mock(wraps=guards_to_link)
+    monkeypatch.setattr(link_choice, "guards_to_link", choose)
+    candidates = make_candidates(4)
+    links = GuardLinks(settings)
+    for _ in range(3):
+        names = links.choose({"s": candidates}, EMPTY_CONFIGURATION)
+    choose.assert_called_once()
+    assert links.choose({"s": candidates[:1]}, EMPTY_CONFIGURATION) < names
+    assert links.choose({}, EMPTY_CONFIGURATION) == set()
+
+
 def without_neighbours(fleet):
     """Drop the links that daemons of a small fleet keep to all others."""
     for daemon in fleet.daemons:
