Retry loans: one pause and one log line for refusals at the same time

Measured by the new tests: ten refusals at one moment give a pause of 0.25 s instead of 1 s; a retry refused during it writes no line.

--- a/packages/core/src/bramleyglade_core/decisions/retry_lenders.py
+++ b/packages/core/src/bramleyglade_core/decisions/retry_lenders.py
@@ -67,8 +67,14 @@
         empty_until[peer] = now + _EMPTY_SECONDS
 
     def note_refused(self, service: str, now: float) -> None:
-        """Record that no peer that was asked has lent enough."""
+        """Record that no peer that was asked has lent enough.
+
+        Requests that asked before a pause began and are refused during it don't make
+        the pause longer.
+        """
         pause = self._pause_by_service.get(service)
+        if pause is not None and now < pause.until:
+            return
         seconds = _FIRST_PAUSE_SECONDS
         if pause is not None:
             seconds = min(_MAX_PAUSE_SECONDS, 2 * pause.seconds)
--- a/packages/daemon/src/bramleyglade_daemon/front/retry_loans.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/retry_loans.py
@@ -68,8 +68,8 @@
                 return True
         if asked:
             self._lenders.note_refused(service, self._context.clock())
-        extra = {"service": service, "lenders": asked, "peers": len(link_by_name)}
-        _LOG.info("RetryRefused", extra=extra)
+            extra = {"service": service, "lenders": asked, "peers": len(link_by_name)}
+            _LOG.info("RetryRefused", extra=extra)
         return False
 
     def _lending_links(self) -> dict[str, Link]:
--- a/tests/test_retry_lenders.py
+++ b/tests/test_retry_lenders.py
@@ -99,3 +99,11 @@
     assert lenders.choose("s", ["a"], 100.7) == []
     lenders.note_granted("s")
     assert lenders.choose("s", ["a"], 100.7) == ["a"]
+
+
+def test_requests_refused_at_the_same_time_make_one_pause():
+    """Ten requests of one moment used up all steps of the pause at once."""
+    lenders = RetryLenders(random.Random(1))
+    for _ in range(10):
+        lenders.note_refused("s", 100.0)
+    assert lenders.choose("s", ["a"], 100.25) == ["a"]
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import random
 from dataclasses import replace
@@ -150,8 +151,12 @@
         return RetriesLent(message.service, 0.0)
 
 
-def test_slow_lenders_together_hold_up_a_retry_no_longer_than_the_bound(clock):
-    """The last peer was given its whole time, however little was left."""
+def test_slow_lenders_together_hold_up_a_retry_no_longer_than_the_bound(clock, caplog):
+    """The last peer was given its whole time, however little was left.
+
+    And each retry refused while no peer is asked, as in a brown-out, wrote a log line.
+    """
+    caplog.set_level(logging.INFO)
     settings = FrontSettings(retry_share=0.0, retry_floor=1.0)
     budgets = RetryBudgets(settings, started_at=clock())
     links = [SlowLender(str(number), clock) for number in range(8)]
@@ -163,6 +168,9 @@
     began_at = clock()
     assert not curio.run(loans.try_spend, "s", Verdict.NOT_RUN)
     assert clock() - began_at == pytest.approx(0.15)
+    assert not curio.run(loans.try_spend, "s", Verdict.NOT_RUN)
+    assert clock() - began_at == pytest.approx(0.15)
+    assert caplog.messages.count("RetryRefused") == 1
 
 
 @pytest.mark.parametrize("message", [RetriesAsked, RetriesLent])
