State learned from peers is bounded and forgotten

Mean calls per run were kept for ever and for each name that a peer told. Fronts told each other's means again, so those of an earlier version of a service never ended: its requests could be refused for a service that they no longer call. Means are now forgotten after 60 s without a report, passed on for 5 s after a guard's own report, and kept for 1024 services and routes. Of regions, 64 were kept for ever; now the 64 that were heard from last are.

Measured by the new tests: two fronts that tell each other for 70 s have forgotten the means; 6,000 names leave 1024 entries.

--- a/packages/core/src/bramleyglade_core/decisions/region_contact.py
+++ b/packages/core/src/bramleyglade_core/decisions/region_contact.py
@@ -14,7 +14,8 @@
 relay's own heartbeat, and two for each of up to four peers that pass it on."""
 
 _MAX_REGIONS = 64
-"""Regions that are kept; names from peers must not fill the memory."""
+"""Regions that are kept, those heard from last; names from peers must not fill the
+memory."""
 
 
 class RegionContact:
@@ -33,9 +34,9 @@
             heard_at: By this process's clock, in seconds.
         """
         known = self._heard_at_by_region
-        if region not in known and len(known) >= _MAX_REGIONS:
-            return
         known[region] = max(heard_at, known.get(region, heard_at))
+        if len(known) > _MAX_REGIONS:
+            del known[min(known, key=known.__getitem__)]
 
     def learn(self, told: Iterable[RegionHeard], now: float) -> None:
         """Merge what a peer has heard; ages that are out of range are ignored.
--- a/packages/core/src/bramleyglade_core/decisions/run_calls.py
+++ b/packages/core/src/bramleyglade_core/decisions/run_calls.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from bramleyglade_core.model.peer_messages import CallsTold
@@ -31,6 +33,32 @@
 _MAX_CALLS_PER_RUN = 20.0
 """Reported calls per run above which a report is ignored as implausible."""
 
+_LEARNED_SECONDS = 60.0
+"""Time after the last report for which learned means are used. A service whose new
+version makes no calls is not reported any more."""
+
+_PASSED_ON_SECONDS = 5.0
+"""Time after the last report of a guard for which means are passed on. Fronts that
+passed on each other's means would keep them for ever."""
+
+_MAX_LEARNED = 1024
+"""Services and routes whose means are kept, those reported last; names from peers must
+not fill the memory."""
+
+_MAX_LEARNED_CALLEES = 64
+"""Services called whose means are kept for each of them."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Learned:
+    per_run_by_callee: dict[str, float]
+    reported_at: float
+    measured_at: float
+    """When a guard of the service last reported them itself."""
+
+
+_NOTHING_LEARNED = _Learned({}, -math.inf, -math.inf)
+
 
 class RunCalls:
     """Counts the calls of the runs on this VM, and learns those of other VMs.
@@ -50,9 +78,10 @@
         self._calls_by_route: dict[tuple[str, str], float] = {}
         """Calls by route and service called."""
         self._running_by_route: Counter[str] = Counter()
-        self._per_run_by_callee_by_caller: dict[tuple[str, str], dict[str, float]] = {}
-        """Learned means by service called, by the service and route of the runs."""
+        self._learned_by_caller: dict[tuple[str, str], _Learned] = {}
+        """Learned means by the service and route of the runs, latest report last."""
         self._callers_by_callee: dict[str, set[str]] = {}
+        self._dropped_at = -math.inf
 
     def note_run(self, route: str) -> None:
         """Count a run of a request that begins at a target on this VM.
@@ -129,24 +158,77 @@
             ),
         )
 
-    def learn(self, service: str, calls: Iterable[CallsTold]) -> None:
+    def learn(
+        self,
+        service: str,
+        calls: Iterable[CallsTold],
+        now: float,
+        is_measured: bool = True,
+    ) -> None:
         """Update the mean calls per run of a service from one daemon's report.
 
         Args:
             service: The service that makes the calls.
             calls: Mean calls per run to each service.
+            now: Time of this process's clock, in seconds.
+            is_measured: Whether the daemon has counted the runs itself.
         """
+        self._drop_old(now)
         for update in calls:
             if not 0.0 <= update.per_run <= _MAX_CALLS_PER_RUN:
                 continue
-            per_run_by_callee = self._per_run_by_callee_by_caller.setdefault(
-                (service, update.route), {}
-            )
-            before = per_run_by_callee.get(update.service, update.per_run)
+            caller = (service, update.route)
+            known = self._learned_by_caller.pop(caller, _NOTHING_LEARNED)
+            per_run_by_callee = dict(known.per_run_by_callee)
+            measured_at = now if is_measured else known.measured_at
+            learned = _Learned(per_run_by_callee, now, measured_at)
+            self._learned_by_caller[caller] = learned
+            before = per_run_by_callee.get(update.service)
+            if before is None:
+                if len(per_run_by_callee) >= _MAX_LEARNED_CALLEES:
+                    continue
+                before = update.per_run
+                self._callers_by_callee.setdefault(update.service, set()).add(service)
             per_run_by_callee[update.service] = before + _SMOOTHING_WEIGHT * (
                 update.per_run - before
             )
-            self._callers_by_callee.setdefault(update.service, set()).add(service)
+        if len(self._learned_by_caller) > _MAX_LEARNED:
+            while len(self._learned_by_caller) > _MAX_LEARNED:
+                del self._learned_by_caller[next(iter(self._learned_by_caller))]
+            self._index_callers()
+
+    def passed_on(self, service: str, now: float) -> tuple[CallsTold, ...]:
+        """Return the means of a service that guards have reported, for other fronts.
+
+        Args:
+            service: The service that makes the calls.
+            now: Time of this process's clock, in seconds.
+        """
+        learned = self._learned_by_caller.get((service, ""))
+        if learned is None or now - learned.measured_at > _PASSED_ON_SECONDS:
+            return ()
+        return tuple(CallsTold(c, n) for c, n in learned.per_run_by_callee.items())
+
+    def _drop_old(self, now: float) -> None:
+        """Drop means that are no longer reported; once a second, as it walks all."""
+        if now - self._dropped_at < 1.0:
+            return
+        self._dropped_at = now
+        old = [
+            caller
+            for caller, learned in self._learned_by_caller.items()
+            if now - learned.reported_at > _LEARNED_SECONDS
+        ]
+        for caller in old:
+            del self._learned_by_caller[caller]
+        if old:
+            self._index_callers()
+
+    def _index_callers(self) -> None:
+        self._callers_by_callee.clear()
+        for (service, _), learned in self._learned_by_caller.items():
+            for callee in learned.per_run_by_callee:
+                self._callers_by_callee.setdefault(callee, set()).add(service)
 
     def per_run_by_callee(self, service: str, route: str = "") -> Mapping[str, float]:
         """Return the mean calls that one run of a service makes, by service called.
@@ -155,8 +237,10 @@
             service: The service.
             route: Route of the run; empty, or not known yet, for the mean of all.
         """
-        means = self._per_run_by_callee_by_caller.get((service, ""), {})
-        return self._per_run_by_callee_by_caller.get((service, route), means)
+        learned = self._learned_by_caller.get((service, route))
+        if learned is None:
+            learned = self._learned_by_caller.get((service, ""))
+        return learned.per_run_by_callee if learned is not None else {}
 
     def callers(self, service: str) -> Iterable[str]:
         """Return the services whose runs call a service."""
@@ -164,10 +248,8 @@
 
     def is_on_path(self, service: str) -> bool:
         """Return whether runs of a service make calls, or calls lead to it."""
-        return (
-            service,
-            "",
-        ) in self._per_run_by_callee_by_caller or service in self._callers_by_callee
+        is_caller = (service, "") in self._learned_by_caller
+        return is_caller or service in self._callers_by_callee
 
     def expected_calls(self, service: str, route: str = "") -> dict[str, float]:
         """Return the expected calls of one run, with those of its calls, by service.
--- a/packages/core/src/bramleyglade_core/decisions/service_loads.py
+++ b/packages/core/src/bramleyglade_core/decisions/service_loads.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from bramleyglade_core.model.peer_messages import CallsTold, ServiceLoadTold
+from bramleyglade_core.model.peer_messages import ServiceLoadTold
 
 if TYPE_CHECKING:
     import random
@@ -116,7 +116,7 @@
         plausible = tuple(told for told in loads if _is_plausible(told))
         self._told_by_peer[peer] = (now, plausible)
         for told in plausible:
-            self._calls.learn(told.service, told.calls)
+            self._calls.learn(told.service, told.calls, now, is_measured=False)
 
     def told(self, now: float) -> tuple[ServiceLoadTold, ...]:
         """Return the sums over the own views of services in use here, for peers.
@@ -205,13 +205,9 @@
             throughput=throughput,
             seconds=busy_seconds / slots if slots else typical,
             queued=tuple(queued),
-            calls=self._calls_told(service),
+            calls=self._calls.passed_on(service, now),
         )
 
-    def _calls_told(self, service: str) -> tuple[CallsTold, ...]:
-        per_run_by_callee = self._calls.per_run_by_callee(service)
-        return tuple(CallsTold(c, n) for c, n in per_run_by_callee.items())
-
 
 def _add_queue(queued: list[int], view: TargetView) -> None:
     """Add a target's queue; one without counts by rank counts as least urgent."""
--- a/packages/daemon/src/bramleyglade_daemon/fleet/context.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/context.py
@@ -143,10 +143,11 @@
             views: Views of all or some of its targets.
         """
         views = tuple(views)
-        self.picker.update_views(daemon, views, self.clock())
+        now = self.clock()
+        self.picker.update_views(daemon, views, now)
         for view in views:
             self.retry_budgets.learn_calls(view.service, view.calls)
-            self.run_calls.learn(view.service, view.run_calls)
+            self.run_calls.learn(view.service, view.run_calls, now)
 
     def routable_targets(self, service: str) -> list[Candidate]:
         """Return the targets of a service that take new work, in its zones in use."""
--- a/tests/test_path_admission.py
+++ b/tests/test_path_admission.py
@@ -166,7 +166,7 @@
                 view = target.view(calls, self.now)
                 daemon = target.candidate.target.daemon
                 front.picker.update_views(daemon, [view], self.now)
-                front.calls.learn(target.service, view.run_calls)
+                front.calls.learn(target.service, view.run_calls, self.now)
         if self.now < PLAYED_SECONDS + DEADLINE_SECONDS:
             self.at(self.now + VIEW_PERIOD_SECONDS, self.send_views)
 
@@ -342,7 +342,7 @@
 def find_shortage(loads, work, calls=()):
     run_calls = RunCalls()
     for caller, callee, per_run in calls:
-        run_calls.learn(caller, (CallsTold(callee, per_run),))
+        run_calls.learn(caller, (CallsTold(callee, per_run),), 0.0)
     admission = PathAdmission(
         lambda service, now: loads.get(service), run_calls, random.Random(1)
     )
@@ -414,7 +414,7 @@
     assert told["search", "ledger"] > 0.5
     assert told["download", "ledger"] < 0.2
     front = RunCalls()
-    front.learn("desk", calls.told())
+    front.learn("desk", calls.told(), 0.0)
     assert front.expected_calls("desk", "download")["ledger"] < 0.2
     assert front.expected_calls("desk", "search")["ledger"] > 0.5
     assert front.expected_calls("desk", "new")["ledger"] == told["", "ledger"]
@@ -431,11 +431,41 @@
 def test_calls_of_services_that_call_each_other_are_counted_once_around():
     """A cycle of calls must not be followed forever."""
     calls = RunCalls()
-    calls.learn("a", (CallsTold("b", 0.5), CallsTold("c", float("nan"))))
-    calls.learn("b", (CallsTold("a", 0.5), CallsTold("c", 1.0)))
+    calls.learn("a", (CallsTold("b", 0.5), CallsTold("c", float("nan"))), 0.0)
+    calls.learn("b", (CallsTold("a", 0.5), CallsTold("c", 1.0)), 0.0)
     assert calls.expected_calls("a") == {"b": 0.5, "c": 0.5}
 
 
+def test_calls_that_no_guard_reports_any_more_are_forgotten():
+    """Fronts passed on each other's means, so those of an earlier version stayed.
+
+    Its requests were refused for a service that they no longer call.
+    """
+    one, other = RunCalls(), RunCalls()
+    one.learn("a", (CallsTold("b", 1.0),), 0.0)
+    for second in range(70):
+        other.learn("a", one.passed_on("a", second), second, is_measured=False)
+        one.learn("a", other.passed_on("a", second), second, is_measured=False)
+        if second == 5:
+            assert other.expected_calls("a") == {"b": 1.0}
+    for calls in (one, other):
+        calls.learn("c", (CallsTold("d", 1.0),), 70.0)
+        assert calls.expected_calls("a") == {}
+        assert not calls.is_on_path("b")
+        assert calls.is_on_path("d")
+
+
+def test_names_in_reports_do_not_fill_the_memory():
+    """A peer that names ever new services or routes used ever more memory."""
+    calls = RunCalls()
+    for number in range(3000):
+        calls.learn("a", (CallsTold("b", 1.0, f"route-{number}"),), 0.0)
+        calls.learn("c", (CallsTold(f"d-{number}", 1.0),), 0.0)
+    assert len(calls._learned_by_caller) == 1024
+    assert len(calls.per_run_by_callee("c")) == 64
+    assert calls.expected_calls("a", "route-2999") == {"b": 1.0}
+
+
 @pytest.fixture
 def make_loads():
     """Make the loads of a front that has views of some of a service's targets."""
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -254,6 +254,18 @@
     assert not contact.is_unreachable("region-2", 100.0)
 
 
+def test_region_whose_name_came_late_is_known_though_many_names_were_told():
+    """Names that were told earlier, even of regions long gone, kept others out."""
+    contact = RegionContact(1.0)
+    for number in range(64):
+        contact.note_heard(f"old-{number}", 10.0 + number / 100)
+    contact.note_heard("region-2", 100.0)
+    assert not contact.is_unreachable("region-2", 105.0)
+    assert contact.is_unreachable("region-2", 120.0)
+    assert contact.is_unreachable("old-63", 120.0)
+    assert not contact.is_unreachable("old-0", 120.0)
+
+
 def test_partitioned_regions_go_on_and_join_again(run_fleet):
     async def scenario(fleet):
         sides = [range(0, 8, 2), range(1, 8, 2)]
