--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -32,6 +32,9 @@
 
 _REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 421: "Misdirected Request"}
 
+_CONNECTION_ENDS = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
+"""What ends the work on a connection, the end of the script included."""
+
 
 class CannotRun(Exception):
     """The case could not be set up, so that it says nothing about the rule."""
@@ -154,7 +157,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, port: int
     ) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(*_CONNECTION_ENDS):
             while (call := await read_head(reader)) is not None:
                 call.body = await read_body(reader, call)
                 self.reads_by_port[port] += call.method == "GET"
@@ -265,7 +268,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(*_CONNECTION_ENDS):
             while (request := await read_head(reader)) is not None:
                 request.body = await read_body(reader, request)
                 writer.write(await self._answer(request))
