Tests of limited targets: keep below the team's rate while waiting

test_requests_beyond_the_rate_of_a_target_go_to_others got 429 instead of 200 on a fast machine. Its first loop sent calls without a pause until the first target had one, 139 to 296 in 0.3 s, and used up the burst of 60 of the team, which the checks after it need. The loop now keeps below the team's rate of 51 a second; the checks are as they were.

--- a/tests/platform_adapter/test_limited_targets.py
+++ b/tests/platform_adapter/test_limited_targets.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+import curio
 import pytest
 
 from bramleyglade_core.model.exchange import AnswerStarted, Header
@@ -11,6 +12,10 @@
 
 LOW_RATE = "0.01"
 
+CALL_PAUSE_SECONDS = 0.05
+"""Keeps the calls below the rate of the team (51 a second), so that its burst is left
+for what follows."""
+
 
 def limit(fleet, index, per_second):
     target = fleet.targets[index]
@@ -20,6 +25,7 @@
 async def call_until_seen(fleet, index):
     while not fleet.targets[index].seen:
         await fleet.call(index)
+        await curio.sleep(CALL_PAUSE_SECONDS)
 
 
 def test_requests_beyond_the_rate_of_a_target_go_to_others(run_platform_fleet):
