Links: a daemon leaves idle links that the peer has opened to the peer

Both daemons may dial at once. When the task that maintains a link ended as idle, it closed link_to(name), also where the peer had opened that link and still used it; the peer opened another one.

The task now closes only a link that this daemon has opened. Links that a seed's address led to have no such task; close_idle_links, until now for other regions only, closes them in all regions, so that none is left that only the peer's task used to close.

--- a/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/membership.py
@@ -148,7 +148,7 @@
         while True:
             self._choose_neighbours()
             self._peers.count_bytes()
-            await self._peers.close_idle_far_links()
+            await self._peers.close_idle_links()
             for name in self._peers.neighbours:
                 await self._peers.maintain_link(name)
             if not self._peers.open_links():
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -344,17 +344,24 @@
             jitter = self._context.random.uniform(0.5, 1.0)
             await curio.sleep(jitter * min(backoff, _MAX_BACKOFF_SECONDS))
         link = self.link_to(name)
-        if link is not None and not link.stream_count:
-            await link.close()
+        if link is None or link.stream_count or link in self._accepted_links:
+            # A link that the peer has opened is the peer's to close: it may need it
+            # later, and would open another one.
+            return
+        await link.close()
 
     def _is_wanted(self, name: str) -> bool:
         if name not in self._context.directory.member_names():
             return False
         zone = self._context.directory.record_by_name[name].zone
         is_far = self._is_zone_far(zone)
-        bound = _FAR_IDLE_TIMEOUT_SECONDS if is_far else _IDLE_TIMEOUT_SECONDS
+        bound = self._idle_timeout_seconds(is_far)
         return name in self.neighbours or self._idle_seconds(name) < bound
 
+    @staticmethod
+    def _idle_timeout_seconds(is_far: bool) -> float:
+        return _FAR_IDLE_TIMEOUT_SECONDS if is_far else _IDLE_TIMEOUT_SECONDS
+
     def _idle_seconds(self, name: str) -> float:
         # The peer may use a link that this daemon doesn't.
         used_at = max(
@@ -406,8 +413,8 @@
             if self.link_by_name.get(name) is link:
                 del self.link_by_name[name]
 
-    async def close_idle_far_links(self) -> None:
-        """Close links to other regions that this daemon has opened and nobody uses.
+    async def close_idle_links(self) -> None:
+        """Close links that this daemon has opened and nobody uses.
 
         Those that a seed's address led to have no task that closes them. A link that
         the peer has opened is closed by the peer, which may need it later: if both
@@ -416,8 +423,8 @@
         for link in list(self.links - self._accepted_links):
             if not link.is_open or link.stream_count or self.is_neighbour(link):
                 continue
-            idle_seconds = self._idle_seconds(link.peer_name)
-            if self.is_far(link) and idle_seconds >= _FAR_IDLE_TIMEOUT_SECONDS:
+            bound = self._idle_timeout_seconds(self.is_far(link))
+            if self._idle_seconds(link.peer_name) >= bound:
                 await link.close()
 
     def count_bytes(self) -> None:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -5,18 +5,23 @@
 import math
 import random
 from dataclasses import replace
+from unittest.mock import AsyncMock, Mock
 
 import curio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bramleyglade_adapters.telemetry import Telemetry
 from bramleyglade_core.decisions.neighbours import Member, choose_neighbours, relays
 from bramleyglade_core.decisions.region_contact import RegionContact
 from bramleyglade_core.model.entities import Zone
 from bramleyglade_core.model.peer_messages import RegionHeard
 from bramleyglade_core.model.tickets import Ticket
+from bramleyglade_daemon.fleet.context import Context
+from bramleyglade_daemon.fleet.peers import Peers
 from bramleyglade_standins.local_fleet import first_ticket, free_address, make_settings
+from bramleyglade_standins.memory_store import MemoryStore
 
 REGIONS = ("region-1", "region-2")
 
@@ -185,6 +190,24 @@
     run_fleet(scenario, daemons=10, ticket=two_region_ticket())
 
 
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_only_the_side_that_opened_an_idle_link_closes_it(settings, clock, is_accepted):
+    """Links that a seed's address led to stayed open, as no task maintains them."""
+    telemetry = Telemetry(settings, random.Random(1))
+    context = Context(settings, MemoryStore(), telemetry, clock=clock)
+    peers = Peers(context)
+    link = Mock(is_open=True, stream_count=0, peer_name="vm-1", close=AsyncMock())
+    link.peer.record.zone = settings.zone
+    peers.links = {link}
+    peers._accepted_links = {link} if is_accepted else set()
+    peers.mark_seen("vm-1")
+    curio.run(peers.close_idle_links)
+    assert not link.close.called
+    clock.advance(60)
+    curio.run(peers.close_idle_links)
+    assert link.close.called is not is_accepted
+
+
 def test_configuration_reaches_the_other_region_after_all_its_relays_are_lost(
     run_fleet,
 ):
