A change that can't be decoded no longer renews the lease (CONFIG)

Cause: a daemon that could not decode the configuration logged it, left it out of the list of changes and returned the list as complete up to the store's revision. The view counted as current at that revision, so the lease, which bounds the time that a withdrawn key is accepted, was renewed by the version that was dropped. Tickets of the product's own store were skipped in the same way.

Change: a list states up to which revision it is complete and at which revision the store was read. The view stays at the former and knows the latter, so it is not current and no lease is renewed, neither by the store nor by a peer; where revocation is strict, requests with a key are refused with 503 once the lease has lapsed, and others are served. The next version that can be decoded ends this. Keepers that change meanwhile are still told to peers. StoreUnreadable, StoreReadable and BatchUnreadable are logged, the first is counted.

--- a/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
+++ b/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
@@ -55,21 +55,24 @@
     """Decode the changed objects under the shared prefix.
 
     An object that can't be decoded is logged and skipped, so that one invalid
-    write does not block all later changes.
+    write does not block all later changes. The batch is complete only up to the
+    revision before a ticket that was skipped, as it may have withdrawn a key.
 
     Args:
         listing: The changed objects.
         after: The revision after which they changed.
 
     Returns:
-        The changes, up to the listing's revision.
+        The changes.
     """
     states: list[EntityState] = []
     assignments: list[KeeperAssignment] = []
     whole_ticket = 0
+    up_to = listing.revision
     for stored in listing.objects:
+        is_ticket = stored.key.startswith(TICKET_PREFIX)
         try:
-            if stored.key.startswith(TICKET_PREFIX):
+            if is_ticket:
                 ticket = read_ticket(stored)
                 states += ticket.states(stored.revision)
                 if ticket.is_whole:
@@ -78,13 +81,16 @@
                 assignments.append(read_assignment(stored))
         except BadInput as error:
             _LOG.error("ObjectUnreadable", extra={"key": stored.key, "why": str(error)})
+            if is_ticket:
+                up_to = min(up_to, stored.revision - 1)
     return SharedBatch(
         after,
-        listing.revision,
+        up_to,
         tuple(states),
         tuple(assignments),
         whole_ticket,
         listing.era,
+        max(listing.revision, listing.newest_revision),
     )
 
 
--- a/packages/core/src/bramleyglade_core/decisions/configuration.py
+++ b/packages/core/src/bramleyglade_core/decisions/configuration.py
@@ -84,6 +84,13 @@
             return tuple(states)
         return tuple(state for state in states if state.revision > revision)
 
+    @cached_property
+    def is_known(self) -> bool:
+        """Whether operators' configuration was received, and not only their zones."""
+        return bool(self.whole_ticket) or any(
+            key.kind in WHOLE_TICKET_KINDS for key in self.state_by_key
+        )
+
     @cached_property
     def zone_by_name(self) -> dict[str, Zone]:
         """Zones in force."""
--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -26,6 +26,9 @@
     """Highest ticket that carried all entities; 0 if none did."""
     era: int = 0
     """Era of the store that both revisions belong to; 0 without eras."""
+    newest_revision: int = 0
+    """Revision of the store when it was read, if above `up_to`: some of the changes in
+    between could not be decoded."""
 
 
 class SharedView:
@@ -41,6 +44,8 @@
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.assignment_by_shard: dict[int, KeeperAssignment] = {}
         """Newest known assignments, also those that no later era has replaced yet."""
+        self.assignments_version = 0
+        """Grows with each change of `assignment_by_shard`."""
         self._former = (0, 0)
         """The era before this one, and the revision of it that was merged."""
         self._zone_hold = ZoneHold()
@@ -78,7 +83,7 @@
             self._apply_late(batch)
             return True
         self.enter_era(batch.era, now)
-        self.note_revision(batch.up_to, batch.era)
+        self.note_revision(max(batch.up_to, batch.newest_revision), batch.era)
         if batch.after > self.revision:
             return False
         self._merge_states(batch)
@@ -163,3 +168,4 @@
         current = self.assignment_by_shard.get(assignment.shard)
         if current is None or current.recency < assignment.recency:
             self.assignment_by_shard[assignment.shard] = assignment
+            self.assignments_version += 1
--- a/packages/core/src/bramleyglade_core/ports/store.py
+++ b/packages/core/src/bramleyglade_core/ports/store.py
@@ -24,8 +24,12 @@
 
     objects: tuple[StoredObject, ...]
     revision: int
+    """Revision of the store up to which all changes are in the list."""
     era: int = 0
     """Era of the answer; 0 from a store without eras."""
+    newest_revision: int = 0
+    """Revision of the store when it was read, if above `revision`: some of the changes
+    in between could not be decoded."""
 
 
 class ObjectStore(Protocol):
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -12,7 +12,7 @@
 from bramleyglade_adapters.link.link import Link, LinkLost
 from bramleyglade_core.decisions.link_delay import MAX_DELAY_SECONDS, LinkDelay
 from bramleyglade_core.model.ejections import EjectionAsked
-from bramleyglade_core.model.errors import ErrorCode, FleetError
+from bramleyglade_core.model.errors import BadInput, ErrorCode, FleetError
 from bramleyglade_core.model.exchange import AttemptFailed, AttemptOffered
 from bramleyglade_core.model.peer_messages import (
     Acknowledged,
@@ -123,7 +123,14 @@
 
     @_handle.register
     async def _(self, message: BatchTold, link: Link, stream: int) -> None:
-        if not await self._shared.apply_batch(link, message):
+        try:
+            is_applied = await self._shared.apply_batch(link, message)
+        except BadInput as error:
+            # The link goes on, as requests are on it.
+            extra = {"peer": link.peer_name, "why": str(error)}
+            _LOG.error("BatchUnreadable", extra=extra)
+            return
+        if not is_applied:
             await curio.spawn(self._shared.pull, link, daemon=True)
 
     @_handle.register
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -70,6 +70,8 @@
         self._was_lease_valid = False
         self._is_store_reachable = False
         """Whether the latest call to the store was answered."""
+        self._is_store_readable = True
+        """Whether all changes in the latest list were decoded."""
         self._pulling_from: set[str] = set()
         self._compared_era_by_peer: dict[str, tuple[DaemonId, int]] = {}
         """Era in which the configuration was last compared with a peer's process."""
@@ -151,8 +153,14 @@
             self._pulling_from.discard(name)
 
     async def apply_batch(self, link: Link, message: BatchTold) -> bool:
-        """Merge changes relayed by a peer; False if earlier ones are missing."""
+        """Merge changes relayed by a peer; False if earlier ones are missing.
+
+        Raises:
+            BadInput: If they can't be decoded. No lease is renewed at a revision below
+                theirs from then on.
+        """
         assert link.peer is not None
+        self._context.view.note_revision(message.up_to, message.era)
         batch = SharedBatch(
             message.after,
             message.up_to,
@@ -301,7 +309,11 @@
             return await self._read_store()
         if after > view.revision:
             return False  # The era began while the store was asked.
-        await self._apply(read_batch(listing, after), source="")
+        batch = read_batch(listing, after)
+        self._note_listing(listing, batch.up_to)
+        await self._apply(batch, source="")
+        # A change that could not be decoded may have withdrawn a key: the lease, which
+        # bounds the time that such a key is accepted, is not renewed.
         if not view.is_current(listing.revision, listing.era):
             return False
         if self._awaits_configuration():
@@ -313,9 +325,14 @@
         view = self._context.view
         await self._enter_era(batch.era, batch.up_to, source)
         before, configuration = view.revision, view.configuration
+        version_before = view.assignments_version
         if not view.apply(batch):
             return False
-        if view.revision == before and view.configuration is configuration:
+        is_same_configuration = view.configuration is configuration
+        # Keepers may change while the configuration can't be decoded; the view stays at
+        # the revision before it then.
+        is_same = is_same_configuration and view.assignments_version == version_before
+        if view.revision == before and is_same:
             return True
         if batch.states or batch.assignments:
             extra = {"revision": view.revision, "source": source or "store"}
@@ -332,6 +349,19 @@
             await self.on_changed()
         return True
 
+    def _note_listing(self, listing: Listing, up_to: int) -> None:
+        """Log when the store's changes can't be decoded, and when they can again."""
+        is_complete = up_to >= max(listing.revision, listing.newest_revision)
+        if is_complete == self._is_store_readable:
+            return
+        self._is_store_readable = is_complete
+        extra = {"revision": up_to, "newest_revision": listing.newest_revision}
+        if is_complete:
+            _LOG.info("StoreReadable", extra=extra)
+            return
+        _LOG.error("StoreUnreadable", extra=extra)
+        self._context.telemetry.note_event("StoreUnreadable")
+
     async def _enter_era(self, era: int, revision: int, source: str) -> bool:
         """Start over if the store's era has risen; return whether it has."""
         view = self._context.view
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -161,7 +161,7 @@
         check_headers(head.headers)
         path = check_path(head.target)
         configuration = self._context.configuration
-        if not configuration.state_by_key:
+        if not configuration.is_known:
             raise AttemptError(
                 ErrorCode.CONFIGURATION_UNKNOWN,
                 "this VM has no configuration yet",
--- a/packages/daemon/src/bramleyglade_daemon/readiness.py
+++ b/packages/daemon/src/bramleyglade_daemon/readiness.py
@@ -24,6 +24,6 @@
         neither peers nor the store can serve only its own targets.
         """
         context = self._context
-        if context.is_leaving or not context.configuration.state_by_key:
+        if context.is_leaving or not context.configuration.is_known:
             return False
         return context.lease.is_valid or bool(self._peers.open_links())
--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -182,7 +182,7 @@
         view = SharedView()
         platform.put("config", "main", _version(7))
         await _refresh(view, store)
-        platform.put("config", "main", _version(8, Routes={"r-x": {"Host": 1}}))
+        platform.put("config", "main", _version(8, Routes=["r-x"]))
         configuration = await _refresh(view, store)
         assert configuration.whole_ticket == 7
         assert "ConfigurationUnreadable" in caplog.text
