A version takes effect also where one of its entities is unusual or undecodable

What callers saw: a version that the store had accepted was dropped as a whole if one of its entities failed a check of this daemon, so that neither its withdrawn keys nor its new routes took effect: a percent-encoded prefix, a tenant's name with spaces, a burst above 10,000,000, a number as text or fraction, an unknown region or route type, a split that names a service twice or one without an entry, a version above r999999999999.

Cause: the checks of the operators' own tickets were applied to a configuration that the store had checked already, and one failure refused the version.

Change: the store's word on what is valid is final. What is accepted works from end to end: a prefix matches the spelling that callers send, and only what follows it is checked for ambiguity; a team's name is sent in UTF-8 and a key compared in it; timeouts, priorities and bursts are kept within what daemons can pass on; a request of an unknown route type isn't repeated. A route or team that still can't be decoded becomes an UnreadableEntity: the rest of its version takes effect, and requests that it may concern get 503, not 404 or 401, and are never served by what is left. Tickets of the product's client are checked as before, by find_problems. EntityUnreadable and EntitiesUnreadable are logged, the second is counted.

--- a/packages/adapters/src/bramleyglade_adapters/http/wire.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/wire.py
@@ -96,8 +96,24 @@
     return tuple(header for header in headers if header.name not in dropped)
 
 
+def header_value(text: str) -> str:
+    """Return the value of a header that carries a text, in UTF-8."""
+    return text.encode().decode("latin-1")
+
+
+def header_text(value: str) -> str:
+    """Return the text in a header's value; Latin-1 where it is no UTF-8."""
+    try:
+        return value.encode("latin-1").decode()
+    except UnicodeDecodeError:
+        return value
+
+
 def headers_from_wire(raw: Iterable[tuple[bytes, bytes]]) -> tuple[Header, ...]:
-    """Decode headers from h11, which has converted the names to lower case."""
+    """Decode headers from h11, which has converted the names to lower case.
+
+    Each character of a value stands for one byte.
+    """
     return tuple(
         Header(name.decode("ascii"), value.decode("latin-1")) for name, value in raw
     )
--- a/packages/core/src/bramleyglade_core/decisions/admission.py
+++ b/packages/core/src/bramleyglade_core/decisions/admission.py
@@ -48,7 +48,14 @@
             "this VM's lease has lapsed, so it can't verify that keys are in force",
             retry_after=1.0,
         )
-    team = configuration.team_by_key_hash.get(hash_key(key))
+    key_hash = hash_key(key)
+    team = configuration.team_by_key_hash.get(key_hash)
+    if team is None and configuration.may_be_key_of_unreadable_team(key_hash):
+        raise KeyRefused(
+            ErrorCode.CONFIGURATION_UNREADABLE,
+            "the key may belong to a team that this VM can't decode",
+            retry_after=1.0,
+        )
     if team is None:
         raise KeyRefused(ErrorCode.KEY_UNKNOWN, "the key is not in force")
     if route.teams and team.name not in route.teams:
--- a/packages/core/src/bramleyglade_core/decisions/configuration.py
+++ b/packages/core/src/bramleyglade_core/decisions/configuration.py
@@ -8,10 +8,12 @@
 
 from bramleyglade_core.decisions.routing import Router
 from bramleyglade_core.model.entities import (
+    KIND_BY_TYPE,
     CallerLimits,
     Route,
     Service,
     Team,
+    UnreadableEntity,
     Zone,
 )
 from bramleyglade_core.model.tickets import WHOLE_TICKET_KINDS
@@ -22,7 +24,9 @@
     from bramleyglade_core.model.entities import EntityKey
     from bramleyglade_core.model.tickets import EntityState
 
-AnyEntity = TypeVar("AnyEntity", Zone, Service, Route, Team, CallerLimits)
+AnyEntity = TypeVar(
+    "AnyEntity", Zone, Service, Route, Team, CallerLimits, UnreadableEntity
+)
 
 _DEFAULT_LIMITS = CallerLimits()
 
@@ -130,17 +134,39 @@
         teams = self.team_by_name.values()
         return {key: team for team in teams for key in team.key_hashes}
 
+    @cached_property
+    def unreadable_routes(self) -> tuple[UnreadableEntity, ...]:
+        """Routes in force that could not be decoded."""
+        return self._unreadable(KIND_BY_TYPE[Route])
+
+    @cached_property
+    def unreadable_teams(self) -> tuple[UnreadableEntity, ...]:
+        """Teams in force that could not be decoded."""
+        return self._unreadable(KIND_BY_TYPE[Team])
+
     @cached_property
     def router(self) -> Router:
         """Index of the routes; of overlapping routes, the higher ticket wins."""
         states = sorted(self.state_by_key.values(), key=lambda s: -s.ticket)
-        return Router(s.entity for s in states if isinstance(s.entity, Route))
+        routes = [s.entity for s in states if isinstance(s.entity, Route)]
+        return Router(routes, self.unreadable_routes)
+
+    def may_be_key_of_unreadable_team(self, key_hash: str) -> bool:
+        """Return whether a key may be one of a team that could not be decoded."""
+        return any(
+            key_hash in team.key_hashes or not team.is_identified
+            for team in self.unreadable_teams
+        )
 
     def is_zone_in_use(self, name: str) -> bool:
         """Return whether new work may go to a zone; unknown zones are in use."""
         zone = self.zone_by_name.get(name)
         return zone is None or zone.in_use
 
+    def _unreadable(self, kind: str) -> tuple[UnreadableEntity, ...]:
+        entities = self._entities(UnreadableEntity).values()
+        return tuple(entity for entity in entities if entity.kind == kind)
+
     def _entities(self, kind: type[AnyEntity]) -> dict[str, AnyEntity]:
         return {
             state.entity.name: state.entity
--- a/packages/core/src/bramleyglade_core/decisions/ticket_check.py
+++ b/packages/core/src/bramleyglade_core/decisions/ticket_check.py
@@ -15,6 +15,7 @@
     Route,
     Service,
     Team,
+    UnreadableEntity,
     Zone,
     entity_key,
 )
@@ -23,6 +24,13 @@
     from bramleyglade_core.model.tickets import Ticket
 
 
+_MAX_KEY_NUMBER = 10**12 - 1
+"""Largest ticket number that the store's keys have digits for."""
+
+MAX_NAME_LENGTH = 128
+"""Largest length of an entity's name in a ticket, in characters."""
+
+
 @dataclass(frozen=True, slots=True)
 class TicketProblem:
     """One reason why a ticket may not be applied."""
@@ -74,10 +82,14 @@
         All problems; empty if the ticket may be applied.
     """
     found = list(_superseded(configuration, ticket))
+    if ticket.number > _MAX_KEY_NUMBER:
+        detail = f"the number must be at most {_MAX_KEY_NUMBER}"
+        found.append(TicketProblem(f"ticket {ticket.number}", detail))
     whole_ticket = ticket.number if ticket.is_whole else 0
     after = configuration.merged(ticket.states(), whole_ticket)
     for key, state in after.state_by_key.items():
         if state.entity is not None:
+            found += [TicketProblem(str(key), d) for d in _name_problems(key.name)]
             found += [
                 TicketProblem(str(key), d)
                 for d in _entity_problems(state.entity, after)
@@ -96,6 +108,20 @@
             )
 
 
+def _name_problems(name: str) -> Iterator[str]:
+    if len(name) > MAX_NAME_LENGTH:
+        yield f"the name must have at most {MAX_NAME_LENGTH} characters"
+    if not all(c.isalnum() or c in "-_." for c in name):
+        yield "the name may only have letters, digits, '-', '_' and '.'"
+
+
+def _prefix_problems(prefix: str) -> Iterator[str]:
+    if any(part in ("", ".", "..") for part in prefix.split("/")[1:-1]):
+        yield "path_prefix must not have an empty, '.' or '..' segment"
+    if any(c in prefix for c in "%\\?#"):
+        yield "path_prefix must not contain '%', '\\', '?' or '#'"
+
+
 @singledispatch
 def _entity_problems(entity: object, after: Configuration) -> Iterator[str]:
     """Yield the problems of an entity in the configuration that contains it."""
@@ -118,6 +144,7 @@
 
 @_entity_problems.register
 def _(route: Route, after: Configuration) -> Iterator[str]:
+    yield from _prefix_problems(route.path_prefix)
     for service in (route.service, *(part.service for part in route.split)):
         if service not in after.service_by_name:
             yield f"service {service!r} does not exist"
@@ -145,6 +172,11 @@
         yield f"must be named {CallerLimits().name!r}"
 
 
+@_entity_problems.register
+def _(unreadable: UnreadableEntity, after: Configuration) -> Iterator[str]:
+    yield "only daemons set entities of this kind"
+
+
 def _region_problems(regions: tuple[str, ...], after: Configuration) -> Iterator[str]:
     known = {zone.region for zone in after.zone_by_name.values()}
     for name in regions:
--- a/packages/core/src/bramleyglade_core/model/errors.py
+++ b/packages/core/src/bramleyglade_core/model/errors.py
@@ -20,6 +20,7 @@
     KEY_NOT_ALLOWED = "key-not-allowed"
     CONFIGURATION_STALE = "configuration-stale"
     CONFIGURATION_UNKNOWN = "configuration-unknown"
+    CONFIGURATION_UNREADABLE = "configuration-unreadable"
     BODY_TOO_LARGE = "body-too-large"
     HEAD_TOO_LARGE = "head-too-large"
     TARGET_ERROR = "target-error"
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -39,6 +39,7 @@
     from collections.abc import Awaitable, Callable
 
     from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.model.entities import UnreadableEntity
     from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.model.peer_messages import HeartbeatAnswered
     from bramleyglade_core.ports.store import Listing
@@ -72,6 +73,7 @@
         """Whether the latest call to the store was answered."""
         self._is_store_readable = True
         """Whether all changes in the latest list were decoded."""
+        self._unreadable_entities: tuple[UnreadableEntity, ...] = ()
         self._pulling_from: set[str] = set()
         self._compared_era_by_peer: dict[str, tuple[DaemonId, int]] = {}
         """Era in which the configuration was last compared with a peer's process."""
@@ -329,6 +331,8 @@
         if not view.apply(batch):
             return False
         is_same_configuration = view.configuration is configuration
+        if not is_same_configuration:
+            self._note_unreadable_entities()
         # Keepers may change while the configuration can't be decoded; the view stays at
         # the revision before it then.
         is_same = is_same_configuration and view.assignments_version == version_before
@@ -349,6 +353,17 @@
             await self.on_changed()
         return True
 
+    def _note_unreadable_entities(self) -> None:
+        """Log the entities in force that requests are refused for, once they change."""
+        configuration = self._context.configuration
+        unreadable = (*configuration.unreadable_routes, *configuration.unreadable_teams)
+        if unreadable and unreadable != self._unreadable_entities:
+            names = sorted(entity.name for entity in unreadable)
+            extra = {"entities": names, "revision": self._context.view.revision}
+            _LOG.error("EntitiesUnreadable", extra=extra)
+            self._context.telemetry.note_event("EntitiesUnreadable")
+        self._unreadable_entities = unreadable
+
     def _note_listing(self, listing: Listing, up_to: int) -> None:
         """Log when the store's changes can't be decoded, and when they can again."""
         is_complete = up_to >= max(listing.revision, listing.newest_revision)
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -13,7 +13,7 @@
 from bramleyglade_adapters.telemetry import traceparent_of
 from bramleyglade_core.decisions.admission import authenticate, is_own_vm
 from bramleyglade_core.decisions.regions import allowed_regions
-from bramleyglade_core.decisions.routing import check_headers, check_path
+from bramleyglade_core.decisions.routing import check_headers, host_of
 from bramleyglade_core.model.errors import (
     AttemptError,
     BadRequest,
@@ -159,7 +159,6 @@
     ) -> AdmittedRequest:
         arrived_at = self._context.clock()
         check_headers(head.headers)
-        path = check_path(head.target)
         configuration = self._context.configuration
         if not configuration.is_known:
             raise AttemptError(
@@ -168,8 +167,8 @@
                 retry_after=1.0,
             )
         check_length(head, configuration.caller_limits)
-        host = head.header("host").partition(":")[0].lower()
-        route = configuration.router.match(head.method, path, host)
+        host = host_of(head.header("host"))
+        route = configuration.router.find(head.method, head.target, host)
         is_valid = self._context.lease.is_valid
         log.note_route(self._context.view.revision, route)
         team = authenticate(configuration, route, metadata.key, is_valid)
--- a/packages/daemon/src/bramleyglade_daemon/front/pipe.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/pipe.py
@@ -15,7 +15,7 @@
     wait_for_close,
     wait_readable,
 )
-from bramleyglade_core.decisions.routing import check_path
+from bramleyglade_core.decisions.routing import host_of
 from bramleyglade_core.model.errors import BadRequest, FleetError
 
 if TYPE_CHECKING:
@@ -246,10 +246,10 @@
         head = request.head
         if head is None or head.has_body:
             return False
-        host = head.header("host").partition(":")[0].lower()
+        host = host_of(head.header("host"))
         router = self._context.configuration.router
         try:
-            route = router.match(head.method, check_path(head.target), host)
+            route = router.find(head.method, head.target, host)
         except FleetError:
             return False  # Refused when its turn comes.
         return route.is_idempotent(head.method)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -19,7 +19,15 @@
 from bramleyglade_client.ticket_repository import TicketConflict, TicketRepository
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
 from bramleyglade_core.decisions.shared_view import SharedBatch, SharedView
-from bramleyglade_core.model.entities import EntityKey, Service, Team, Zone
+from bramleyglade_core.decisions.ticket_check import find_problems
+from bramleyglade_core.model.entities import (
+    EntityKey,
+    Route,
+    Service,
+    Team,
+    UnreadableEntity,
+    Zone,
+)
 from bramleyglade_core.model.errors import BadInput, ErrorCode, StoreError
 from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_standins.memory_store import MemoryStore, StoreFaults
@@ -236,3 +244,27 @@
         random_source.shuffle(states)
         merged.append(EMPTY_CONFIGURATION.merged(states).state_by_key)
     assert all(state_by_key == merged[0] for state_by_key in merged)
+
+
+@pytest.mark.parametrize(
+    "entity",
+    [
+        Service("a b", ("zone-0",)),
+        Service("a" * 129, ("zone-0",)),
+        Route("r", "s", "/a%20b"),
+        Route("r", "s", "/a//b"),
+        Route("r", "s", "/a/../b"),
+        UnreadableEntity("route/r", "bad"),
+    ],
+)
+def test_ticket_with_an_ambiguous_entity_is_not_applied(entity):
+    """Daemons accept such names and prefixes from stores that have checked them."""
+    base = Ticket(1, "", (Zone("zone-0", "r"), Service("s", ("zone-0",))))
+    configuration = EMPTY_CONFIGURATION.merged(base.states())
+    assert not find_problems(configuration, Ticket(2, "", (Route("r", "s", "/a"),)))
+    assert find_problems(configuration, Ticket(2, "", (entity,)))
+
+
+def test_ticket_number_that_its_key_has_no_digits_for_is_not_applied():
+    ticket = Ticket(10**12, "", (Zone("zone-0", "r"),))
+    assert find_problems(EMPTY_CONFIGURATION, ticket)
