Requests that were read are answered before their connection closes (LOST)

Cause: Pipe.may_close_behind allowed the end after MAX_AHEAD answers whatever had been read behind, the reader went on reading and starting requests meanwhile, and Pipe.close cancelled their tasks.

Change: after MAX_AHEAD answers nothing more is taken from the socket; what was read by then, also heads that are whole but not parsed, is answered in order, and only the last of these answers announces the end. From that announcement on, of any reason, nothing is read or begun. A caller that never stops sending is still closed upon.

--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -440,9 +440,14 @@
             *outcome_headers,
         ]
         if is_closing or self._connection.is_body_due:
-            headers.append(Header("connection", "close"))
+            headers.append(self._announce_close())
         self._connection.start_answer(started.status, headers)
 
+    def _announce_close(self) -> Header:
+        """Return the header of the last answer on the connection."""
+        self._pipe.end()
+        return Header("connection", "close")
+
     def _without_key_header(self, trailers: tuple[Header, ...]) -> list[Header]:
         reserved = self._context.settings.front.key_header
         return [h for h in trailers if h.name != reserved]
@@ -459,7 +464,7 @@
         headers = list(answer.headers)
         is_last = self._is_closing or isinstance(error, BadRequest)
         if is_last or self._connection.is_body_due:
-            headers.append(Header("connection", "close"))
+            headers.append(self._announce_close())
         try:
             self._connection.start_answer(answer.status, headers)
             self._connection.continue_answer(answer.body)
@@ -486,7 +491,7 @@
     @property
     def _is_closing(self) -> bool:
         """Whether this is the last answer on the connection."""
-        if not self._front.should_close_connections:
+        if not (self._front.should_close_connections or self._pipe.is_closing):
             return False
         return self._pipe.may_close_behind(self._connection)
 
--- a/packages/daemon/src/bramleyglade_daemon/front/pipe.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/pipe.py
@@ -83,18 +83,32 @@
         self._is_stopped = False
         self._answers_past_close = 0
         """Answers since the connection should close that left it open."""
+        self.is_closing = False
+        """Whether only requests whose bytes were read already are still begun."""
+        self._is_ended = False
+        """Whether an answer has announced the end of the connection."""
         self._closed = curio.Event()
 
     def may_close_behind(self, connection: ServerConnection) -> bool:
-        """Return whether the answer to a connection's request may be the last one.
+        """Return whether the answer to a connection's request is the last one.
 
-        What has arrived behind the request is answered first, but a caller that never
-        stops sending is closed upon after `MAX_AHEAD` more answers.
+        What has arrived behind the request is answered first. A caller that never stops
+        sending is closed upon, after `MAX_AHEAD` more answers and those to what was
+        read by then. If true, nothing further is read or begun.
         """
-        if not self._has_arrived_behind(connection):
-            return True
-        self._answers_past_close += 1
-        return self._answers_past_close > MAX_AHEAD
+        if not self.is_closing and self._has_arrived_behind(connection):
+            self._answers_past_close += 1
+            if self._answers_past_close <= MAX_AHEAD:
+                return False
+        self.is_closing = True
+        if self._has_read_behind(connection):
+            return False
+        self.end()
+        return True
+
+    def end(self) -> None:
+        """Read and begin nothing further, as an answer announces the end."""
+        self._is_ended = True
 
     def _has_arrived_behind(self, connection: ServerConnection) -> bool:
         if connection is not self._tail:
@@ -103,6 +117,18 @@
         holder = self._next or connection
         return holder.has_surplus or has_data_now(self._sock)
 
+    def _has_read_behind(self, connection: ServerConnection) -> bool:
+        """Return whether a whole head behind a connection's request has been read."""
+        if connection is not self._tail:
+            return True
+        if not connection.may_precede:
+            return False
+        request = self._parse()
+        if request is None:
+            return False
+        self._waiting.append(request)
+        return True
+
     async def receive(self) -> PipedRequest | None:
         """Wait for the next request.
 
@@ -216,7 +242,11 @@
         while self._may_read_ahead():
             request = self._parse()
             if request is None:
+                if self.is_closing:
+                    break
                 await wait_readable(self._sock)
+                if self.is_closing:
+                    break  # The end was decided on during the wait.
                 try:
                     data = await self._sock.recv(RECEIVE_BYTES)
                 except OSError as error:
@@ -236,7 +266,7 @@
             await self._closed.set()
 
     def _may_read_ahead(self) -> bool:
-        if self._is_stopped or len(self._waiting) >= MAX_AHEAD:
+        if self._is_stopped or self._is_ended or len(self._waiting) >= MAX_AHEAD:
             return False
         if any(request.task is None for request in self._waiting):
             return False
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -9,6 +9,7 @@
 import hashlib
 import itertools
 import json
+import re
 import socket
 import struct
 from dataclasses import replace
@@ -22,7 +23,7 @@
 
 from bramleyglade_adapters.http.server_connection import ServerConnection
 from bramleyglade_core.model.announcements import DaemonPhase
-from bramleyglade_core.model.entities import CallerLimits
+from bramleyglade_core.model.entities import CallerLimits, Zone
 from bramleyglade_core.model.errors import BadRequest
 from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_daemon.front.pipe import MAX_AHEAD, Pipe
@@ -245,6 +246,58 @@
     run_fleet(scenario)
 
 
+def begin_leaving(fleet):
+    fleet.daemons[0].context.phase = DaemonPhase.LEAVING
+
+
+def take_zone_out(fleet):
+    context = fleet.daemons[0].context
+    out = Ticket(2, "", (Zone(context.settings.zone, "region-1", False),))
+    context.view.configuration = context.configuration.merged(out.states())
+
+
+@pytest.mark.parametrize("begin_closing", [begin_leaving, take_zone_out])
+@pytest.mark.parametrize("ahead", [3, MAX_AHEAD + 4, 5 * MAX_AHEAD])
+def test_no_request_that_was_begun_is_dropped_when_its_connection_closes(
+    run_fleet, begin_closing, ahead
+):
+    """The close came after eight answers, whatever ran at targets behind them."""
+
+    async def scenario(fleet):
+        slow_down(fleet, 0.02)
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        sent = [f"/lookup/{i}" for i in range(ahead)]
+        await caller.send(*[request(path) for path in sent])
+        begin_closing(fleet)
+        answered, data = [], bytearray()
+        while piece := await caller.sock.recv(65_536):
+            data += piece
+            while answer := take_answer(data):
+                answered.append(answer)
+                if not answer[2]:
+                    sent.append(f"/lookup/{len(sent)}")
+                    await caller.send(request(sent[-1]))
+        assert [is_last for *_, is_last in answered].index(True) == len(answered) - 1
+        assert paths(answered) == sent[: len(answered)]
+        await curio.sleep(0.1)
+        runs = sum(sum(t.runs_by_request.values()) for t in fleet.targets)
+        assert runs == len(answered)
+
+    run_fleet(scenario)
+
+
+def take_answer(data):
+    """Remove the first whole answer from received bytes; None if there is none."""
+    head, separator, rest = bytes(data).partition(b"\r\n\r\n")
+    found = re.search(rb"content-length: (\d+)", head.lower())
+    if not separator or len(rest) < int(found[1]):
+        return None
+    size = len(head) + len(separator) + int(found[1])
+    (answer,) = split_answers(bytes(data[:size]))
+    del data[:size]
+    return answer
+
+
 @pytest.mark.parametrize("tells_length", [True, False])
 def test_request_behind_a_refused_body_is_answered_at_a_stop(run_fleet, tells_length):
     """The body had arrived whole, but was not read before the connection closed."""
