A refusal ends its connection only where the next request can't be read

- A request without a body that is refused as bad (an ambiguous path, a reserved header) is framed soundly, but its 400 closed the connection and the requests behind it, read with it, got no answer.
They are answered now; behind bytes that are no request, or a body that is not read, the connection closes as before.
- A connection beyond the limit of connections got one 503 without notice that it closes, and nothing for the requests behind it.
All that it has sent by then is refused, and the last answer announces the end.

--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -462,8 +462,9 @@
             await self._skip_arrived_body()
         answer = refusal_answer(error, request_id, self._context.dialect)
         headers = list(answer.headers)
-        is_last = self._is_closing or isinstance(error, BadRequest)
-        if is_last or self._connection.is_body_due:
+        # Behind a bad request that was read whole, the next one can be read.
+        is_broken = isinstance(error, BadRequest) and not self._connection.may_precede
+        if self._is_closing or is_broken or self._connection.is_body_due:
             headers.append(self._announce_close())
         try:
             self._connection.start_answer(answer.status, headers)
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -8,7 +8,6 @@
 
 import curio
 
-from bramleyglade_adapters.http.server_connection import ServerConnection
 from bramleyglade_adapters.http.wire import RECEIVE_BYTES, disable_nagle
 from bramleyglade_core.model.errors import AttemptError, BadRequest, ErrorCode
 from bramleyglade_daemon.front.caller_exchange import CallerExchange
@@ -92,6 +91,8 @@
         self._pipe = Pipe(front.context, sock, self._serve_ahead)
         self._exchanges: set[CallerExchange] = set()
         """Requests in progress."""
+        self._rejection: AttemptError | None = None
+        """Why all requests of the connection are refused; None if they are served."""
 
     @property
     def is_busy(self) -> bool:
@@ -119,18 +120,13 @@
             await self._pipe.close()
 
     async def reject(self) -> None:
-        """Refuse a connection beyond the limit, once it sends a request."""
+        """Refuse what a connection beyond the limit sends, and close it."""
         detail = "this VM has reached its limit of connections"
-        error = AttemptError(ErrorCode.DAEMON_FULL, detail, retry_after=1.0)
-        connection = ServerConnection(self._sock)
-        try:
-            limits = self._context.configuration.caller_limits
-            async with curio.timeout_after(limits.head_seconds):
-                if await connection.receive_request() is not None:
-                    exchange = CallerExchange(self._front, connection, self._pipe)
-                    await exchange.refuse(error, "")
-        except (OSError, BadRequest, curio.TaskTimeout):
-            return
+        self._rejection = AttemptError(ErrorCode.DAEMON_FULL, detail, retry_after=1.0)
+        self._pipe.is_closing = True
+        limits = self._context.configuration.caller_limits
+        async with curio.ignore_after(limits.head_seconds):
+            await self.run()
 
     async def stop_reading(self) -> None:
         """Read no more requests."""
@@ -148,6 +144,8 @@
             if request.head is None:
                 assert request.error is not None
                 await exchange.refuse(request.error, "")
+            elif self._rejection is not None:
+                await exchange.refuse(self._rejection, "")
             else:
                 await exchange.serve(request.head)
         finally:
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -298,6 +298,40 @@
     return answer
 
 
+def test_requests_behind_a_bad_one_without_a_body_are_answered(run_fleet):
+    """They had been read, and the connection closed behind the refusal."""
+
+    async def scenario(fleet):
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        await caller.send(
+            request("/lookup/1"), request("/songs/../x"), request("/lookup/2")
+        )
+        answers = await caller.answers()
+        assert [status for status, _, _ in answers] == [200, 400, 200]
+        assert not any(is_last for *_, is_last in answers)
+
+    run_fleet(scenario)
+
+
+def test_connection_beyond_the_limit_gets_an_answer_to_all_it_has_sent(run_fleet):
+    """Only the first was answered, without a notice that the connection closes."""
+
+    async def scenario(fleet):
+        context = fleet.daemons[0].context
+        front = replace(context.settings.front, max_connections=1)
+        context.settings = replace(context.settings, front=front)
+        first = PipingCaller(fleet.settings[0].caller_address)
+        await first.send(request("/lookup/0"))
+        await fleet.wait_until(lambda: fleet.daemons[0].front.connections)
+        caller = PipingCaller(fleet.settings[0].caller_address)
+        await caller.send(request("/lookup/1"), request("/songs/2", "POST", b"body"))
+        answers = await caller.answers()
+        assert [status for status, _, _ in answers] == [503, 503]
+        assert [is_last for *_, is_last in answers] == [False, True]
+
+    run_fleet(scenario)
+
+
 @pytest.mark.parametrize("tells_length", [True, False])
 def test_request_behind_a_refused_body_is_answered_at_a_stop(run_fleet, tells_length):
     """The body had arrived whole, but was not read before the connection closed."""
