Names of services are sent in UTF-8, as those of teams

A daemon whose service had a name outside Latin-1 didn't start, and a reload to such a name was ignored, while the store, the targets' reports and the header with the team's name may have any.

--- a/tests/platform_adapter/test_platform_decoding.py
+++ b/tests/platform_adapter/test_platform_decoding.py
@@ -250,6 +250,18 @@
     }
 
 
+@pytest.mark.parametrize("service", ["Höhe", "\u6771", "a b"])
+def test_service_name_is_sent_in_utf_8(tmp_path, service):
+    """Names outside Latin-1 kept the daemon from starting."""
+    path = tmp_path / "settings.toml"
+    text = SETTINGS.replace('Service = "catalogue"', f'Service = "{service}"')
+    path.write_text(text, encoding="utf-8")
+    settings = load_platform_settings(str(path))
+    dialect = PlatformDialect(settings.service)
+    (sent,) = dialect.forwarded_headers([], ForwardedMetadata("a1", ""))
+    assert sent.value.encode("latin-1").decode() == service
+
+
 def test_remaining_time_must_be_a_positive_number(dialect):
     assert (
         dialect.read_caller_headers([Header("deadline-remaining", "2500")]).seconds
