A shard whose assignment can't be decoded has no keeper until it is claimed

What was skipped may be the claim of another daemon, so that the keeper before it could grant beside it. Only daemons write assignments; it takes two versions or a damaged object. The shard now counts as without a keeper: the former one steps down, and the daemon that the shard falls to replaces the object after the usual waits. The number of the vacant assignment is the store's revision, above that of any takeover.

--- a/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
+++ b/packages/adapters/src/bramleyglade_adapters/store/shared_objects.py
@@ -12,7 +12,12 @@
 
 from bramleyglade_adapters.structure import from_json, to_json
 from bramleyglade_core.decisions.shared_view import SharedBatch
-from bramleyglade_core.model.announcements import KeeperAssignment, MemberRecord
+from bramleyglade_core.model.announcements import (
+    NO_KEEPER,
+    KeeperAssignment,
+    MemberRecord,
+    epoch_of,
+)
 from bramleyglade_core.model.errors import BadInput, ErrorCode
 from bramleyglade_core.model.tickets import EntityState, Ticket
 
@@ -24,6 +29,9 @@
 KEEPER_PREFIX = "shared/keepers/"
 MEMBER_PREFIX = "members/"
 
+_MAX_SHARD_DIGITS = 9
+"""Digits of a shard's number that messages between daemons carry."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -56,7 +64,8 @@
 
     An object that can't be decoded is logged and skipped, so that one invalid
     write does not block all later changes. The batch is complete only up to the
-    revision before a ticket that was skipped, as it may have withdrawn a key.
+    revision before a ticket that was skipped, as it may have withdrawn a key. A shard
+    whose assignment is skipped has no keeper: another daemon may have claimed it.
 
     Args:
         listing: The changed objects.
@@ -83,6 +92,8 @@
             _LOG.error("ObjectUnreadable", extra={"key": stored.key, "why": str(error)})
             if is_ticket:
                 up_to = min(up_to, stored.revision - 1)
+            elif (vacant := _vacant_assignment(stored)) is not None:
+                assignments.append(vacant)
     return SharedBatch(
         after,
         up_to,
@@ -116,6 +127,22 @@
     return replace(assignment, revision=stored.revision)
 
 
+def _vacant_assignment(stored: StoredObject) -> KeeperAssignment | None:
+    """Return an assignment without a keeper for one that can't be decoded.
+
+    Each takeover has a revision of its own, so that the revision, as its number, lies
+    above the numbers of all takeovers so far.
+
+    Returns:
+        The assignment, or None if the object's key names no shard.
+    """
+    shard = stored.key.removeprefix(KEEPER_PREFIX)
+    if not (shard.isascii() and shard.isdigit()) or len(shard) > _MAX_SHARD_DIGITS:
+        return None
+    epoch = epoch_of(stored.era, stored.revision)
+    return KeeperAssignment(int(shard), NO_KEEPER, epoch, stored.revision)
+
+
 def states_to_bytes(states: tuple[EntityState, ...]) -> bytes:
     """Encode entity states for a peer."""
     return to_json(states)
--- a/packages/core/src/bramleyglade_core/model/announcements.py
+++ b/packages/core/src/bramleyglade_core/model/announcements.py
@@ -139,6 +139,10 @@
         return (self.daemon.incarnation, self.sequence)
 
 
+NO_KEEPER = DaemonId("", 0)
+"""Stands for the keeper in an assignment that can't be decoded; it is no member."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeeperAssignment:
     """Assigns one shard of the teams and services to its keeper."""
--- a/tests/platform_adapter/test_unreadable_configuration.py
+++ b/tests/platform_adapter/test_unreadable_configuration.py
@@ -23,6 +23,7 @@
 from bramleyglade_adapters.structure import from_json, to_json
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
 from bramleyglade_core.decisions.shared_view import SharedView
+from bramleyglade_core.model.announcements import NO_KEEPER
 from bramleyglade_core.model.errors import AttemptError, ErrorCode
 from bramleyglade_core.model.tickets import Ticket
 from bramleyglade_core.ports.store import Listing, StoredObject
@@ -211,6 +212,32 @@
     assert len(batch.states) == 1
 
 
+def test_shard_whose_assignment_was_not_decoded_gets_another_keeper(
+    run_platform_fleet,
+):
+    """Its keeper went on granting, whoever had claimed the shard."""
+
+    async def scenario(fleet):
+        context = fleet.daemons[0].context
+        shard = fleet.daemons[0].keepers.shard_of_team("studio")
+        before = context.view.assignment_by_shard[shard]
+        fleet.platform.put("fleet-keepers", str(shard), {"keeper": "unknown"})
+
+        def assignments():
+            return [d.context.view.assignment_by_shard[shard] for d in fleet.daemons]
+
+        await fleet.wait_until(lambda: {a.keeper for a in assignments()} == {NO_KEEPER})
+        await fleet.wait_until(
+            lambda: NO_KEEPER not in {a.keeper for a in assignments()}
+        )
+        assert all(a.epoch > before.epoch for a in assignments())
+        for index in range(len(fleet.daemons)):
+            await fleet.report(index, Sequence=2)  # They were missed meanwhile.
+        await wait_for_status(fleet, 200)
+
+    run_platform_fleet(scenario)
+
+
 def test_incomplete_list_of_zones_puts_no_zone_back(platform_settings):
     ticket = zones_ticket(5, {"zone-a"}, platform_settings, is_complete=False)
     assert [(z.name, z.in_use) for z in ticket.entities] == [("zone-a", False)]
