--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -34,12 +34,12 @@
 from bramleyglade_daemon.fleet.era_survey import NOTHING_AFTER
 from bramleyglade_daemon.fleet.gather import gather
 from bramleyglade_daemon.fleet.peers import expect
+from bramleyglade_daemon.fleet.unreadable_changes import UnreadableChanges
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from bramleyglade_adapters.link.link import Link
-    from bramleyglade_core.model.entities import UnreadableEntity
     from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.model.peer_messages import HeartbeatAnswered
     from bramleyglade_core.ports.store import Listing
@@ -71,9 +71,7 @@
         self._was_lease_valid = False
         self._is_store_reachable = False
         """Whether the latest call to the store was answered."""
-        self._is_store_readable = True
-        """Whether all changes in the latest list were decoded."""
-        self._unreadable_entities: tuple[UnreadableEntity, ...] = ()
+        self._unreadable = UnreadableChanges(context)
         self._pulling_from: set[str] = set()
         self._compared_era_by_peer: dict[str, tuple[DaemonId, int]] = {}
         """Era in which the configuration was last compared with a peer's process."""
@@ -312,7 +310,7 @@
         if after > view.revision:
             return False  # The era began while the store was asked.
         batch = read_batch(listing, after)
-        self._note_listing(listing, batch.up_to)
+        self._unreadable.note_batch(batch)
         await self._apply(batch, source="")
         # A change that could not be decoded may have withdrawn a key: the lease, which
         # bounds the time that such a key is accepted, is not renewed.
@@ -332,7 +330,7 @@
             return False
         is_same_configuration = view.configuration is configuration
         if not is_same_configuration:
-            self._note_unreadable_entities()
+            self._unreadable.note_configuration()
         # Keepers may change while the configuration can't be decoded; the view stays at
         # the revision before it then.
         is_same = is_same_configuration and view.assignments_version == version_before
@@ -353,30 +351,6 @@
             await self.on_changed()
         return True
 
-    def _note_unreadable_entities(self) -> None:
-        """Log the entities in force that requests are refused for, once they change."""
-        configuration = self._context.configuration
-        unreadable = (*configuration.unreadable_routes, *configuration.unreadable_teams)
-        if unreadable and unreadable != self._unreadable_entities:
-            names = sorted(entity.name for entity in unreadable)
-            extra = {"entities": names, "revision": self._context.view.revision}
-            _LOG.error("EntitiesUnreadable", extra=extra)
-            self._context.telemetry.note_event("EntitiesUnreadable")
-        self._unreadable_entities = unreadable
-
-    def _note_listing(self, listing: Listing, up_to: int) -> None:
-        """Log when the store's changes can't be decoded, and when they can again."""
-        is_complete = up_to >= max(listing.revision, listing.newest_revision)
-        if is_complete == self._is_store_readable:
-            return
-        self._is_store_readable = is_complete
-        extra = {"revision": up_to, "newest_revision": listing.newest_revision}
-        if is_complete:
-            _LOG.info("StoreReadable", extra=extra)
-            return
-        _LOG.error("StoreUnreadable", extra=extra)
-        self._context.telemetry.note_event("StoreUnreadable")
-
     async def _enter_era(self, era: int, revision: int, source: str) -> bool:
         """Start over if the store's era has risen; return whether it has."""
         view = self._context.view
