--- a/packages/adapters/src/bramleyglade_adapters/http/json_server.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/json_server.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from bramleyglade_adapters.error_text import error_text
 from bramleyglade_adapters.http.server_connection import RequestHead, ServerConnection
 from bramleyglade_adapters.http.wire import disable_nagle
 from bramleyglade_core.model.errors import BadRequest, ErrorCode
@@ -50,7 +51,7 @@
             while await self._serve_one(connection):
                 pass
         except (OSError, BadRequest, curio.TaskTimeout) as error:
-            _LOG.debug("ClientGone", extra={"why": str(error)})
+            _LOG.debug("ClientGone", extra={"why": error_text(error)})
 
     async def _serve_one(self, connection: ServerConnection) -> bool:
         async with curio.timeout_after(_REQUEST_TIMEOUT_SECONDS):
--- a/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
+++ b/packages/adapters/src/bramleyglade_adapters/http/simple_client.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from bramleyglade_adapters.error_text import error_text
 from bramleyglade_adapters.http.client_connection import AnswerBroken, ClientConnection
 from bramleyglade_adapters.http.wire import first_header
 from bramleyglade_core.model.errors import ErrorCode
@@ -94,7 +95,7 @@
                     )
             except (OSError, AnswerBroken, curio.TaskTimeout) as error:
                 await connection.close()
-                raise AnswerLost(str(error) or type(error).__name__) from None
+                raise AnswerLost(error_text(error)) from None
             except curio.CancelledError:
                 await connection.close()
                 raise
@@ -119,7 +120,7 @@
         try:
             return await ClientConnection.open(self._address, timeout_seconds)
         except (OSError, curio.TaskTimeout) as error:
-            raise RequestNotSent(str(error) or type(error).__name__) from None
+            raise RequestNotSent(error_text(error)) from None
 
     async def _exchange(
         self,
--- a/packages/adapters/src/bramleyglade_adapters/link/link.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/link.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from bramleyglade_adapters.error_text import error_text
 from bramleyglade_adapters.fair_turns import FairTurns
 from bramleyglade_adapters.http.wire import RECEIVE_BYTES
 from bramleyglade_adapters.link.codec import (
@@ -132,7 +133,9 @@
             async with curio.timeout_after(_HANDSHAKE_TIMEOUT_SECONDS):
                 envelope = await self._receive_one(buffer)
         except (OSError, curio.TaskTimeout) as error:
-            raise LinkLost(ErrorCode.PEER_LOST, f"handshake failed: {error}") from None
+            raise LinkLost(
+                ErrorCode.PEER_LOST, f"handshake failed: {error_text(error)}"
+            ) from None
         peer_hello = envelope.message
         if (
             not isinstance(peer_hello, HelloSaid)
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_task.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from bramleyglade_adapters.error_text import error_text
 from bramleyglade_adapters.http.wire import RECEIVE_BYTES, disable_nagle
 from bramleyglade_core.model.errors import AttemptError, BadRequest, ErrorCode
 from bramleyglade_daemon.front.caller_exchange import CallerExchange
@@ -115,7 +116,7 @@
             await self._pipe.close()
             await self._linger()
         except (OSError, curio.TaskTimeout) as error:
-            _LOG.debug("CallerGone", extra={"why": str(error)})
+            _LOG.debug("CallerGone", extra={"why": error_text(error)})
         finally:
             await self._pipe.close()
 
@@ -156,7 +157,7 @@
         try:
             await self._serve(request)
         except (OSError, BadRequest) as error:
-            _LOG.debug("CallerGone", extra={"why": str(error)})
+            _LOG.debug("CallerGone", extra={"why": error_text(error)})
         except curio.CancelledError:
             raise
         except Exception:
--- a/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
+++ b/packages/daemon/src/bramleyglade_daemon/guard/target_worker.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from bramleyglade_adapters.error_text import error_text
 from bramleyglade_adapters.http.client_connection import (
     AnswerBroken,
     ClientConnection,
@@ -159,7 +160,8 @@
             )
         except (OSError, curio.TaskTimeout) as error:
             raise AttemptError(
-                ErrorCode.TARGET_REFUSED, f"no connection to the target: {error}"
+                ErrorCode.TARGET_REFUSED,
+                f"no connection to the target: {error_text(error)}",
             ) from None
         return self._connection
 
