Versions of the configuration are passed on by what they change (CONFIG)

Cause: a change cost as much as the whole configuration, once for each link. A version was one ticket with all its entities, each daemon sent it to all its neighbours and decoded it before it found out that it had it. The copies filled links of 10 Mbit/s, heartbeats and leases waited behind them, and healthy peers were suspected; each new link and each failed call (1 s for 449 KB) began another whole copy, so the cause outlived the change.

Change: a whole ticket travels as the entities that differ from an earlier whole ticket, compressed. Small changes are pushed, larger ones announced and fetched once by each daemon, 16 KB a message, the next one asked for after the one before; another peer continues where one failed. Heartbeats no longer wait for a fetch. What operators write is told to the other region at once. A version that leaves a kind of entity as it is keeps its indexes.

--- a/packages/adapters/src/bramleyglade_adapters/link/codec.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/codec.py
@@ -194,6 +194,8 @@
     peer_messages.RecordDigestsTold,
     peer_messages.RetriesAsked,
     peer_messages.RetriesLent,
+    peer_messages.ChangesAsked,
+    peer_messages.ChangesTold,
 )
 
 
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -43,6 +43,8 @@
     recordDigestsTold @36 :RecordDigestsTold;
     retriesAsked @37 :RetriesAsked;
     retriesLent @38 :RetriesLent;
+    changesAsked @39 :ChangesAsked;
+    changesTold @40 :ChangesTold;
   }
 }
 
@@ -148,7 +150,14 @@
   runCalls @13 :List(CallsTold);
 }
 
-struct BatchAsked { after @0 :UInt64; }
+struct BatchAsked { after @0 :UInt64; knownTickets @1 :List(UInt64); }
+struct ChangesAsked {
+  baseTicket @0 :UInt64;
+  wholeTicket @1 :UInt64;
+  digest @2 :UInt64;
+  offset @3 :UInt64;
+}
+struct ChangesTold { data @0 :Data; }
 
 struct BatchTold {
   after @0 :UInt64;
@@ -157,6 +166,11 @@
   assignments @3 :Data;
   wholeTicket @4 :UInt64;
   era @5 :UInt32;
+  wholeRevision @6 :UInt64;
+  baseTicket @7 :UInt64;
+  changes @8 :Data;
+  changesSize @9 :UInt64;
+  changesDigest @10 :UInt64;
 }
 
 struct RecordsAsked { digests @0 :List(UInt64); }  # Empty for all records.
--- a/packages/client/src/bramleyglade_client/ticket_making.py
+++ b/packages/client/src/bramleyglade_client/ticket_making.py
@@ -84,7 +84,7 @@
     """
     if number is None:
         states = configuration.state_by_key.values()
-        number = max((state.ticket for state in states), default=0) + 1
+        number = max((configuration.ticket_of(s) for s in states), default=0) + 1
     return Ticket(number, summary, (entity,))
 
 
--- a/packages/core/src/bramleyglade_core/decisions/configuration.py
+++ b/packages/core/src/bramleyglade_core/decisions/configuration.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from functools import cached_property
 from typing import TYPE_CHECKING, TypeVar
 
@@ -10,19 +11,19 @@
 from bramleyglade_core.model.entities import (
     KIND_BY_TYPE,
     CallerLimits,
+    EntityKey,
     Route,
     Service,
     Team,
     UnreadableEntity,
     Zone,
 )
-from bramleyglade_core.model.tickets import WHOLE_TICKET_KINDS
+from bramleyglade_core.model.tickets import WHOLE_TICKET_KINDS, EntityState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
-    from bramleyglade_core.model.entities import EntityKey
-    from bramleyglade_core.model.tickets import EntityState
+    from bramleyglade_core.model.entities import Entity
 
 AnyEntity = TypeVar(
     "AnyEntity", Zone, Service, Route, Team, CallerLimits, UnreadableEntity
@@ -30,20 +31,62 @@
 
 _DEFAULT_LIMITS = CallerLimits()
 
+_MAX_PAST_TICKETS = 16
+"""Whole tickets that a configuration can be told the changes since."""
+
+_KINDS_BY_INDEX = {
+    "service_by_name": {"service"},
+    "route_by_name": {"route"},
+    "team_by_name": {"team"},
+    "team_by_key_hash": {"team"},
+    "caller_limits": {"limits"},
+    "priorities": {"route", "team"},
+    "unreadable_routes": {"unreadable"},
+    "unreadable_teams": {"unreadable"},
+    "router": {"route", "unreadable"},
+}
+"""Kinds of entities that each index depends on."""
+
+
+@dataclass(frozen=True, slots=True)
+class PastTicket:
+    """A whole ticket that was in force, and what its successor changed."""
+
+    number: int
+    state_by_key: Mapping[EntityKey, EntityState | None]
+    """Former states of the entities that changed; None for those that were added."""
+
 
 class Configuration:
-    """An immutable merge of entity states, with the indexes for serving requests."""
+    """An immutable merge of entity states, with the indexes for serving requests.
+
+    An entity that a whole ticket repeats keeps its state, so that a whole ticket costs
+    as much as it changes. Tickets of states are compared by `ticket_of`.
+    """
 
     def __init__(
-        self, state_by_key: Mapping[EntityKey, EntityState], whole_ticket: int = 0
+        self,
+        state_by_key: Mapping[EntityKey, EntityState],
+        whole_ticket: int = 0,
+        whole_revision: int = 0,
+        past_tickets: tuple[PastTicket, ...] = (),
     ) -> None:
         self.state_by_key = state_by_key
-        """State of each entity ever configured; removed ones as tombstones."""
+        """State of each entity ever configured; removed ones as tombstones, unless a
+        whole ticket has removed them."""
         self.whole_ticket = whole_ticket
         """Highest ticket that carries all entities; 0 if there is none."""
+        self.whole_revision = whole_revision
+        """Store revision of that ticket; 0 if it was read in an earlier era."""
+        self.past_tickets = past_tickets
+        """Whole tickets that were in force before, the newest first."""
 
     def merged(
-        self, states: Iterable[EntityState], whole_ticket: int = 0
+        self,
+        states: Iterable[EntityState],
+        whole_ticket: int = 0,
+        whole_revision: int = 0,
+        base_ticket: int = 0,
     ) -> Configuration:
         """Return the configuration with more states merged in.
 
@@ -55,38 +98,169 @@
             whole_ticket: Highest of these tickets that carries all entities; it
                 supersedes earlier states of the `WHOLE_TICKET_KINDS`. 0 if there is
                 none.
+            whole_revision: Store revision of the whole ticket.
+            base_ticket: One of the `known_tickets` if `states` has only what the whole
+                ticket changed since that one, with tombstones for removed entities.
 
         Returns:
             A new configuration, or this one if nothing changes.
         """
+        is_new_whole = whole_ticket > self.whole_ticket
         latest_whole = max(self.whole_ticket, whole_ticket)
-        is_changed = latest_whole > self.whole_ticket
-        merged = dict(self.state_by_key)
-        if is_changed:
-            merged = {
-                k: s for k, s in merged.items() if not _is_superseded(s, latest_whole)
+        changes: dict[EntityKey, EntityState | None] = {}
+        if is_new_whole and base_ticket:
+            changes = self._former_states(base_ticket)
+        elif is_new_whole:
+            changes = {
+                key: None
+                for key, state in self.state_by_key.items()
+                if self._is_superseded(state, latest_whole)
             }
         for state in states:
-            current = merged.get(state.key)
-            if current is not None and current.ticket >= state.ticket:
+            if _is_of_whole_kind(state) and state.ticket < latest_whole:
                 continue
-            if _is_superseded(state, latest_whole):
+            current = changes.get(state.key, self.state_by_key.get(state.key))
+            if current is not None and self.ticket_of(current) >= state.ticket:
                 continue
-            merged[state.key] = state
-            is_changed = True
-        return Configuration(merged, latest_whole) if is_changed else self
+            changes[state.key] = self._changed_state(state, latest_whole)
+        changes = {
+            key: state
+            for key, state in changes.items()
+            if state is not self.state_by_key.get(key)
+        }
+        if not changes and not is_new_whole:
+            return self
+        merged = {**self.state_by_key, **changes}
+        configuration = Configuration(
+            {key: state for key, state in merged.items() if state is not None},
+            latest_whole,
+            whole_revision if is_new_whole else self.whole_revision,
+            self._past_after(changes, is_new_whole),
+        )
+        configuration._adopt_indexes(self, {key.kind for key in changes})
+        return configuration
+
+    def ticket_of(self, state: EntityState) -> int:
+        """Return the highest ticket that has set a state or has repeated it."""
+        if _is_of_whole_kind(state):
+            return max(state.ticket, self.whole_ticket)
+        return state.ticket
+
+    @cached_property
+    def known_tickets(self) -> tuple[int, ...]:
+        """Whole tickets that changes can be told from, the one in force first.
+
+        Empty if there is none, or if a later ticket has changed single entities.
+        """
+        is_amended = any(
+            state.ticket > self.whole_ticket and _is_of_whole_kind(state)
+            for state in self.state_by_key.values()
+        )
+        if not self.whole_ticket or is_amended:
+            return ()
+        return (self.whole_ticket, *(past.number for past in self.past_tickets))
+
+    def changes_since(self, base_ticket: int) -> tuple[EntityState, ...]:
+        """Return what the whole ticket in force has changed since an earlier one.
+
+        Args:
+            base_ticket: One of the `known_tickets`, or 0 for all entities.
+
+        Returns:
+            States of the `WHOLE_TICKET_KINDS` as set by the whole ticket, sorted by
+            key; tombstones for removed entities.
+        """
+        if not base_ticket:
+            entities = [
+                (key, state.entity)
+                for key, state in self.state_by_key.items()
+                if self._is_set_by_whole(state)
+            ]
+        else:
+            entities = [
+                (key, _entity_of(self.state_by_key.get(key)))
+                for key, former in self._former_states(base_ticket).items()
+                if _entity_of(former) != _entity_of(self.state_by_key.get(key))
+            ]
+        return tuple(
+            EntityState(key, self.whole_ticket, entity, self.whole_revision)
+            for key, entity in sorted(entities, key=lambda item: item[0])
+        )
 
     def without_revisions(self) -> Configuration:
         """Return the same configuration as of before the first revision of an era."""
         states = {k: replace(s, revision=0) for k, s in self.state_by_key.items()}
-        return Configuration(states, self.whole_ticket)
+        return Configuration(states, self.whole_ticket, 0, self.past_tickets)
 
     def states_after(self, revision: int) -> tuple[EntityState, ...]:
         """Return the states set by tickets accepted after a revision; all after 0."""
-        states = self.state_by_key.values()
-        if revision == 0:
-            return tuple(states)
-        return tuple(state for state in states if state.revision > revision)
+        states = [
+            state
+            for state in self.state_by_key.values()
+            if not self._is_set_by_whole(state)
+            and (revision == 0 or state.revision > revision)
+        ]
+        if revision == 0 or self.whole_revision > revision:
+            states += self.changes_since(0)
+        return tuple(states)
+
+    def single_states_after(self, revision: int) -> tuple[EntityState, ...]:
+        """Return those of `states_after` whose kinds no whole ticket replaces."""
+        return tuple(
+            state
+            for state in self.state_by_key.values()
+            if not _is_of_whole_kind(state)
+            and (revision == 0 or state.revision > revision)
+        )
+
+    def _is_set_by_whole(self, state: EntityState) -> bool:
+        return _is_of_whole_kind(state) and state.ticket <= self.whole_ticket
+
+    def _is_superseded(self, state: EntityState, whole_ticket: int) -> bool:
+        return _is_of_whole_kind(state) and self.ticket_of(state) < whole_ticket
+
+    def _changed_state(
+        self, state: EntityState, latest_whole: int
+    ) -> EntityState | None:
+        """Return the state to keep for a new one; None if the entity is absent."""
+        if not _is_of_whole_kind(state) or state.ticket > latest_whole:
+            return state
+        known = self.state_by_key.get(state.key)
+        if state.entity is not None and _entity_of(known) == state.entity:
+            return known
+        return state if state.entity is not None else None
+
+    def _former_states(self, base_ticket: int) -> dict[EntityKey, EntityState | None]:
+        """Return the states at an earlier ticket of all entities changed since."""
+        former: dict[EntityKey, EntityState | None] = {}
+        if base_ticket == self.whole_ticket:
+            return former
+        for past in self.past_tickets:
+            former.update(past.state_by_key)
+            if past.number == base_ticket:
+                return former
+        raise ValueError(f"the changes since ticket {base_ticket} are not known")
+
+    def _past_after(
+        self, changes: Mapping[EntityKey, EntityState | None], is_new_whole: bool
+    ) -> tuple[PastTicket, ...]:
+        replaced = {
+            key: self.state_by_key.get(key)
+            for key in changes
+            if key.kind in WHOLE_TICKET_KINDS
+        }
+        if not is_new_whole:
+            return () if replaced else self.past_tickets
+        if not self.known_tickets:
+            return ()
+        past = PastTicket(self.whole_ticket, replaced)
+        return (past, *self.past_tickets)[:_MAX_PAST_TICKETS]
+
+    def _adopt_indexes(self, former: Configuration, changed_kinds: set[str]) -> None:
+        """Keep the indexes of a former configuration that no change concerns."""
+        for name, kinds in _KINDS_BY_INDEX.items():
+            if name in former.__dict__ and not kinds & changed_kinds:
+                self.__dict__[name] = former.__dict__[name]
 
     @cached_property
     def is_known(self) -> bool:
@@ -146,8 +320,14 @@
 
     @cached_property
     def router(self) -> Router:
-        """Index of the routes; of overlapping routes, the higher ticket wins."""
-        states = sorted(self.state_by_key.values(), key=lambda s: -s.ticket)
+        """Index of the routes; of overlapping routes, the higher ticket wins.
+
+        Of those that a whole ticket has set, the one with the lower name wins, so that
+        it is the same on all daemons.
+        """
+        states = sorted(
+            self.state_by_key.values(), key=lambda s: (-self.ticket_of(s), s.key)
+        )
         routes = [s.entity for s in states if isinstance(s.entity, Route)]
         return Router(routes, self.unreadable_routes)
 
@@ -175,8 +355,12 @@
         }
 
 
-def _is_superseded(state: EntityState, whole_ticket: int) -> bool:
-    return state.ticket < whole_ticket and state.key.kind in WHOLE_TICKET_KINDS
+def _is_of_whole_kind(state: EntityState) -> bool:
+    return state.key.kind in WHOLE_TICKET_KINDS
+
+
+def _entity_of(state: EntityState | None) -> Entity | None:
+    return None if state is None else state.entity
 
 
 EMPTY_CONFIGURATION = Configuration({})
--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -11,6 +11,8 @@
 from bramleyglade_core.model.tickets import EntityState
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from bramleyglade_core.decisions.configuration import Configuration
 
 
@@ -29,6 +31,11 @@
     newest_revision: int = 0
     """Revision of the store when it was read, if above `up_to`: some of the changes in
     between could not be decoded."""
+    whole_revision: int = 0
+    """Revision of the whole ticket; 0 if it is the highest one in `states`."""
+    base_ticket: int = 0
+    """Earlier whole ticket, if `states` has only what the whole ticket has changed
+    since that one; 0 if it has all that the whole ticket carries."""
 
 
 class SharedView:
@@ -77,14 +84,15 @@
                 era.
 
         Returns:
-            False if the batch would leave a gap; nothing but the era is changed then.
+            False if the batch would leave a gap, or has changes since a ticket that is
+            not known here; nothing but the era is changed then.
         """
         if batch.era < self.era:
             self._apply_late(batch)
             return True
         self.enter_era(batch.era, now)
         self.note_revision(max(batch.up_to, batch.newest_revision), batch.era)
-        if batch.after > self.revision:
+        if batch.after > self.revision or not self._knows_base_of(batch):
             return False
         self._merge_states(batch)
         for assignment in batch.assignments:
@@ -114,9 +122,41 @@
             return False
         return self.newest_known_revision <= revision <= self.revision
 
+    def batch_since(self, revision: int, known_tickets: Sequence[int]) -> SharedBatch:
+        """Return what a peer lacks, without the changes of the whole ticket.
+
+        Args:
+            revision: Revision of the era that the peer has merged.
+            known_tickets: Whole tickets that the peer can be told the changes since,
+                the one in force first; 0 if it has none.
+
+        Returns:
+            The batch. If it names a whole ticket, `Configuration.changes_since` the
+            base ticket belongs to it. If no whole ticket can be told by its changes,
+            the batch has everything and a base ticket of 0.
+        """
+        configuration = self.configuration
+        if not configuration.known_tickets:
+            return self.batch_after(revision)
+        is_newer = configuration.whole_ticket > known_tickets[0]
+        shared = (t for t in known_tickets if t in configuration.known_tickets)
+        return SharedBatch(
+            after=revision,
+            up_to=self.revision,
+            states=configuration.single_states_after(revision),
+            assignments=self._assignments_after(revision),
+            whole_ticket=configuration.whole_ticket if is_newer else 0,
+            era=self.era,
+            whole_revision=configuration.whole_revision if is_newer else 0,
+            base_ticket=next(shared, 0) if is_newer else 0,
+        )
+
     def batch_after(self, revision: int) -> SharedBatch:
-        """Return the changes that a peer at this revision of the era lacks."""
-        assignments = self.assignment_by_shard.values()
+        """Return the changes that a peer at this revision of the era lacks.
+
+        Daemons of earlier versions get them in this form, in which a whole ticket has
+        all its entities.
+        """
         states = self.configuration.states_after(revision)
         whole_ticket = self.configuration.whole_ticket
         if revision <= self.revision and not self._has_whole(revision):
@@ -126,15 +166,25 @@
             after=revision,
             up_to=self.revision,
             states=states,
-            assignments=tuple(
-                a
-                for a in assignments
-                if a.revision > revision or (a.era < self.era and not revision)
-            ),
+            assignments=self._assignments_after(revision),
             whole_ticket=whole_ticket,
             era=self.era,
+            whole_revision=self.configuration.whole_revision if whole_ticket else 0,
         )
 
+    def _assignments_after(self, revision: int) -> tuple[KeeperAssignment, ...]:
+        return tuple(
+            a
+            for a in self.assignment_by_shard.values()
+            if a.revision > revision or (a.era < self.era and not revision)
+        )
+
+    def _knows_base_of(self, batch: SharedBatch) -> bool:
+        configuration = self.configuration
+        if batch.whole_ticket <= configuration.whole_ticket or not batch.base_ticket:
+            return True
+        return batch.base_ticket in configuration.known_tickets
+
     def _has_whole(self, revision: int) -> bool:
         """Return whether a peer at this revision gets or has the whole ticket.
 
@@ -143,10 +193,7 @@
         if not self.era or not revision:
             return True
         configuration = self.configuration
-        return not any(
-            state.ticket == configuration.whole_ticket and state.revision == 0
-            for state in configuration.state_by_key.values()
-        )
+        return bool(configuration.whole_revision) or not configuration.whole_ticket
 
     def _apply_late(self, batch: SharedBatch) -> None:
         """Merge what operators wrote in the era before; it may be in force elsewhere.
@@ -154,18 +201,30 @@
         Nothing else of an earlier era counts any more.
         """
         era, revision = self._former
-        if batch.era == era and batch.after <= revision:
+        is_gapless = batch.after <= revision and self._knows_base_of(batch)
+        if batch.era == era and is_gapless:
             self._former = (era, max(revision, batch.up_to))
             states = tuple(replace(state, revision=0) for state in batch.states)
-            self._merge_states(replace(batch, states=states))
+            self._merge_states(replace(batch, states=states), whole_revision=0)
 
-    def _merge_states(self, batch: SharedBatch) -> None:
+    def _merge_states(
+        self, batch: SharedBatch, whole_revision: int | None = None
+    ) -> None:
         current = self.configuration
         states = self._zone_hold.filter(batch.states, current.state_by_key)
-        self.configuration = current.merged(states, batch.whole_ticket)
+        if whole_revision is None:
+            whole_revision = batch.whole_revision or _revision_of_whole(batch)
+        self.configuration = current.merged(
+            states, batch.whole_ticket, whole_revision, batch.base_ticket
+        )
 
     def _merge_assignment(self, assignment: KeeperAssignment) -> None:
         current = self.assignment_by_shard.get(assignment.shard)
         if current is None or current.recency < assignment.recency:
             self.assignment_by_shard[assignment.shard] = assignment
             self.assignments_version += 1
+
+
+def _revision_of_whole(batch: SharedBatch) -> int:
+    revisions = (s.revision for s in batch.states if s.ticket == batch.whole_ticket)
+    return max(revisions, default=0)
--- a/packages/core/src/bramleyglade_core/decisions/ticket_check.py
+++ b/packages/core/src/bramleyglade_core/decisions/ticket_check.py
@@ -102,9 +102,12 @@
 ) -> Iterator[TicketProblem]:
     for state in ticket.states():
         current = configuration.state_by_key.get(state.key)
-        if current is not None and current.ticket > ticket.number:
+        if current is None:
+            continue
+        number = configuration.ticket_of(current)
+        if number > ticket.number:
             yield TicketProblem(
-                str(state.key), f"already set by the later ticket {current.ticket}"
+                str(state.key), f"already set by the later ticket {number}"
             )
 
 
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -9,9 +9,12 @@
 from bramleyglade_core.model.exchange import AttemptOffered
 from bramleyglade_core.model.identifiers import DaemonId
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 """Version of the peer protocol that this daemon uses."""
 
+CHANGES_PROTOCOL_VERSION = 2
+"""Lowest version whose daemons take whole tickets as changes since an earlier one."""
+
 LOWEST_PROTOCOL_VERSION = 1
 """Lowest version accepted from peers; higher ones are all accepted."""
 
@@ -175,6 +178,9 @@
     """A daemon requests the changes in the store after a revision."""
 
     after: int
+    known_tickets: tuple[int, ...] = ()
+    """Whole tickets that the sender can be told the changes since, the one in force
+    first; 0 if it has none. Empty if it wants whole tickets with all entities."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,9 +197,40 @@
     """Highest number of a ticket that carried all entities; 0 if none did."""
     era: int = 0
     """Era of the store that the revisions belong to; 0 without eras."""
+    whole_revision: int = 0
+    """Revision of the whole ticket; 0 if it is that of its states."""
+    base_ticket: int = 0
+    """Earlier whole ticket that `changes` begins after; 0 if it has all entities."""
+    changes: bytes = b""
+    """First bytes of the compressed changes of the whole ticket, or all of them."""
+    changes_size: int = 0
+    """Size of the compressed changes, in bytes; 0 if `states` has all changes."""
+    changes_digest: int = 0
+    """Digest of the compressed changes."""
 
     def __post_init__(self) -> None:
         _check_era(self.era)
+        if len(self.changes) > self.changes_size:
+            raise ValueError("changes must not be longer than changes_size")
+
+
+@dataclass(frozen=True, slots=True)
+class ChangesAsked:
+    """A daemon requests the next bytes of the changes of a whole ticket."""
+
+    base_ticket: int
+    whole_ticket: int
+    digest: int
+    offset: int
+    """Number of bytes that the sender has."""
+
+
+@dataclass(frozen=True, slots=True)
+class ChangesTold:
+    """Some bytes of the changes of a whole ticket."""
+
+    data: bytes
+    """Empty if the sender no longer has these changes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -18,6 +18,7 @@
     Acknowledged,
     BatchAsked,
     BatchTold,
+    ChangesAsked,
     HeartbeatAnswered,
     HeartbeatSent,
     LeavingTold,
@@ -117,9 +118,11 @@
 
     @_handle.register
     async def _(self, message: BatchAsked, link: Link, stream: int) -> None:
-        await self._send_answer(
-            link, stream, self._shared.batch_for_peer(message.after)
-        )
+        await self._send_answer(link, stream, self._shared.batch_for_peer(message))
+
+    @_handle.register
+    async def _(self, message: ChangesAsked, link: Link, stream: int) -> None:
+        await self._send_answer(link, stream, self._shared.changes_for_peer(message))
 
     @_handle.register
     async def _(self, message: BatchTold, link: Link, stream: int) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -8,12 +8,17 @@
 
 import curio
 
+from bramleyglade_adapters.error_text import error_text
 from bramleyglade_adapters.http.wire import connect, disable_nagle
 from bramleyglade_adapters.link.link import Link, LinkLost, encode_one_way
 from bramleyglade_core.decisions.link_choice import LinkState
 from bramleyglade_core.decisions.regions import Distance
 from bramleyglade_core.model.errors import BadInput, ErrorCode, FleetError
-from bramleyglade_core.model.peer_messages import PROTOCOL_VERSION, HelloSaid
+from bramleyglade_core.model.peer_messages import (
+    CHANGES_PROTOCOL_VERSION,
+    PROTOCOL_VERSION,
+    HelloSaid,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -214,7 +219,11 @@
         return await link.call(message, timeout_seconds)
 
     async def send_to_neighbours(
-        self, message: Any, exclude: str = "", is_pulled: bool = False
+        self,
+        message: Any,
+        exclude: str = "",
+        is_pulled: bool = False,
+        older_message: Any = None,
     ) -> None:
         """Send a message to all neighbours but one; they forward what is new.
 
@@ -224,13 +233,23 @@
             is_pulled: Whether peers ask for the content once a heartbeat shows that
                 they lack it. It is not sent to other regions then, where several
                 relays would each get a copy of what their region may have already.
+            older_message: The message for daemons that don't take whole tickets as
+                changes; None if they get the same.
         """
         data = encode_one_way(message)
         for link in self.neighbour_links():
             is_skipped = is_pulled and self.is_far(link)
-            if link.peer_name != exclude and not is_skipped:
+            if link.peer_name == exclude or is_skipped:
+                continue
+            if older_message is not None and not takes_changes(link):
+                await link.send_one_way(older_message)
+            else:
                 await link.send_encoded(data, type(message).__name__)
 
+    def has_older_neighbours(self) -> bool:
+        """Return whether a neighbour doesn't take whole tickets as changes."""
+        return not all(takes_changes(link) for link in self.neighbour_links())
+
     async def send_to_linked_peers(self, message: Any) -> None:
         """Send a message to linked peers, or to a random sample if there are many.
 
@@ -378,7 +397,8 @@
             sock = await self.connect(record.address, _DIAL_TIMEOUT_SECONDS)
         except (OSError, curio.TaskTimeout) as error:
             self._failed_at_by_name[name] = self._context.clock()
-            _LOG.debug("PeerUnreachable", extra={"peer": name, "why": str(error)})
+            extra = {"peer": name, "why": error_text(error)}
+            _LOG.debug("PeerUnreachable", extra=extra)
             return False
         await curio.spawn(self._run_link, sock, daemon=True)
         link_opened = self._link_opened_by_name.setdefault(name, curio.Event())
@@ -455,6 +475,11 @@
             await link_opened.set()
 
 
+def takes_changes(link: Link) -> bool:
+    """Return whether a peer takes whole tickets as changes since an earlier one."""
+    return link.peer is not None and link.peer.version >= CHANGES_PROTOCOL_VERSION
+
+
 def expect(answer: Any, kind: type) -> Any:
     """Check the type of an answer.
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import curio
@@ -27,6 +28,8 @@
 from bramleyglade_core.model.peer_messages import (
     BatchAsked,
     BatchTold,
+    ChangesAsked,
+    ChangesTold,
     SightAsked,
     SightTold,
 )
@@ -34,12 +37,15 @@
 from bramleyglade_daemon.fleet.era_survey import NOTHING_AFTER
 from bramleyglade_daemon.fleet.gather import gather
 from bramleyglade_daemon.fleet.peers import expect
+from bramleyglade_daemon.fleet.revision_lag import RevisionLag
+from bramleyglade_daemon.fleet.ticket_changes import PIECE_BYTES, TicketChanges
 from bramleyglade_daemon.fleet.unreadable_changes import UnreadableChanges
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from bramleyglade_adapters.link.link import Link
+    from bramleyglade_core.decisions.configuration import Configuration
     from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.model.peer_messages import HeartbeatAnswered
     from bramleyglade_core.ports.store import Listing
@@ -72,7 +78,11 @@
         self._is_store_reachable = False
         """Whether the latest call to the store was answered."""
         self._unreadable = UnreadableChanges(context)
-        self._pulling_from: set[str] = set()
+        self._changes = TicketChanges(context)
+        self._lag = RevisionLag(context, self._changes)
+        self._is_pulling = False
+        self._source_by_name: dict[str, Link] = {}
+        """Peers to pull from, the last one to tell of a newer revision at the end."""
         self._compared_era_by_peer: dict[str, tuple[DaemonId, int]] = {}
         """Era in which the configuration was last compared with a peer's process."""
         self._comparing_with: set[str] = set()
@@ -92,6 +102,7 @@
         backoff = self._context.settings.lease.refresh_seconds
         while True:
             self._log_lease_change()
+            self._lag.check()
             await self._release_zones()
             if await self._refresh_lease():
                 backoff = self._context.settings.lease.refresh_seconds
@@ -108,7 +119,9 @@
     async def apply_heartbeat_answer(
         self, link: Link, answer: HeartbeatAnswered, sent_at: float
     ) -> None:
-        """Pull the peer's revision if it is newer, and adopt its remaining lease.
+        """Adopt the peer's remaining lease, once its revision is in force here.
+
+        Heartbeats don't wait for the transfer of a newer revision.
 
         Args:
             link: The link to the peer.
@@ -121,7 +134,20 @@
         if answer.era != view.era:
             return
         if answer.revision > view.revision:
-            await self.pull(link)
+            await curio.spawn(self._catch_up, link, answer, sent_at, daemon=True)
+        else:
+            await self._adopt_lease(link, answer, sent_at)
+
+    async def _catch_up(
+        self, link: Link, answer: HeartbeatAnswered, sent_at: float
+    ) -> None:
+        await self.pull(link)
+        await self._adopt_lease(link, answer, sent_at)
+
+    async def _adopt_lease(
+        self, link: Link, answer: HeartbeatAnswered, sent_at: float
+    ) -> None:
+        view = self._context.view
         if answer.era:
             await self._compare_configuration(link)
         if self._awaits_configuration():
@@ -137,23 +163,47 @@
         self._context.view.note_revision(revision, era)
 
     async def pull(self, link: Link) -> None:
-        """Fetch the changes that this daemon lacks from a peer."""
-        assert link.peer is not None
-        name = link.peer.daemon.name
-        if name in self._pulling_from:
+        """Fetch the changes that this daemon lacks, from one peer after another.
+
+        Args:
+            link: Link to a peer that knows of changes. If changes are being fetched
+                already, it is asked after that, if it is still needed.
+        """
+        self._source_by_name[link.peer_name] = link
+        if self._is_pulling:
             return
-        self._pulling_from.add(name)
+        self._is_pulling = True
+        view = self._context.view
+        try:
+            while self._source_by_name:
+                _, source = self._source_by_name.popitem()
+                await self._pull_from(source)
+                if view.is_current(view.revision, view.era):
+                    self._source_by_name.clear()
+        finally:
+            self._is_pulling = False
+
+    async def _pull_from(self, link: Link) -> None:
+        request = BatchAsked(self._context.view.revision, self._known_tickets())
         try:
-            request = BatchAsked(self._context.view.revision)
             answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
-            await self.apply_batch(link, expect(answer, BatchTold))
+            told = await self._completed(link, expect(answer, BatchTold))
+            await self.apply_batch(link, told)
         except FleetError as error:
-            _LOG.info("PullFailed", extra={"peer": name, "why": str(error)})
-        finally:
-            self._pulling_from.discard(name)
+            _LOG.info("PullFailed", extra={"peer": link.peer_name, "why": str(error)})
+
+    def _known_tickets(self) -> tuple[int, ...]:
+        return self._context.configuration.known_tickets or (0,)
+
+    async def _completed(self, link: Link, told: BatchTold) -> BatchTold:
+        """Return a peer's message with all changes of a newer whole ticket."""
+        is_newer = told.whole_ticket > self._context.configuration.whole_ticket
+        if not is_newer or len(told.changes) == told.changes_size:
+            return told
+        return replace(told, changes=await self._changes.fetch(link, told))
 
     async def apply_batch(self, link: Link, message: BatchTold) -> bool:
-        """Merge changes relayed by a peer; False if earlier ones are missing.
+        """Merge changes relayed by a peer; False if others must be fetched first.
 
         Raises:
             BadInput: If they can't be decoded. No lease is renewed at a revision below
@@ -161,19 +211,35 @@
         """
         assert link.peer is not None
         self._context.view.note_revision(message.up_to, message.era)
+        states = states_from_bytes(message.states)
+        is_newer = message.whole_ticket > self._context.configuration.whole_ticket
+        if is_newer and message.changes_size:
+            if len(message.changes) < message.changes_size:
+                return False
+            states += self._changes.decoded(message)
         batch = SharedBatch(
             message.after,
             message.up_to,
-            states_from_bytes(message.states),
+            states,
             assignments_from_bytes(message.assignments),
             message.whole_ticket,
             message.era,
+            whole_revision=message.whole_revision,
+            base_ticket=message.base_ticket,
         )
         return await self._apply(batch, link.peer.daemon.name)
 
-    def batch_for_peer(self, after: int) -> BatchTold:
+    def batch_for_peer(self, request: BatchAsked) -> BatchTold:
         """Return the changes that a peer at a revision lacks."""
-        return _encode_batch(self._context.view.batch_after(after))
+        view = self._context.view
+        if not request.known_tickets:
+            return _encode_batch(view.batch_after(request.after))
+        batch = view.batch_since(request.after, request.known_tickets)
+        return self._changes.told(batch, PIECE_BYTES)
+
+    def changes_for_peer(self, request: ChangesAsked) -> ChangesTold:
+        """Return the next piece of changes that a peer is fetching."""
+        return self._changes.piece(request)
 
     async def report_store_contact(self) -> SightTold:
         """Report whether this daemon reaches the store, after a new call if needed."""
@@ -341,16 +407,36 @@
             _LOG.info("RevisionInForce", extra=extra)
         # A change that arrives late is below the revision already held.
         is_late = batch.era < view.era
-        changes = view.batch_after(0 if is_late else min(before, batch.after))
+        after = 0 if is_late else min(before, batch.after)
         # In a new era every daemon reads all once, when a heartbeat tells it the era.
         is_known = view.era and not before and configuration.state_by_key
         if is_late or not is_known:
-            message = _encode_batch(changes)
-            await self._peers.send_to_neighbours(message, source, is_pulled=True)
+            base_ticket = self._base_to_tell(batch, configuration)
+            is_urgent = _is_operators_change(configuration, view.configuration)
+            await self._pass_on(after, base_ticket, source, is_pulled=not is_urgent)
         if self.on_changed is not None:
             await self.on_changed()
         return True
 
+    def _base_to_tell(self, batch: SharedBatch, former: Configuration) -> int:
+        """Return the whole ticket that most peers are expected to have."""
+        if batch.base_ticket in self._context.configuration.known_tickets:
+            return batch.base_ticket
+        return former.whole_ticket
+
+    async def _pass_on(
+        self, after: int, base_ticket: int, source: str = "", is_pulled: bool = False
+    ) -> None:
+        """Tell the neighbours what has changed after a revision and a whole ticket."""
+        view = self._context.view
+        message = self._changes.announced(view.batch_since(after, (base_ticket,)))
+        older_message = None
+        if self._peers.has_older_neighbours():
+            older_message = _encode_batch(view.batch_after(after))
+        await self._peers.send_to_neighbours(
+            message, source, is_pulled=is_pulled, older_message=older_message
+        )
+
     async def _enter_era(self, era: int, revision: int, source: str) -> bool:
         """Start over if the store's era has risen; return whether it has."""
         view = self._context.view
@@ -390,14 +476,15 @@
         own = self._context.configuration
         try:
             # Only a whole ticket's number shows whether the peer's version is newer.
-            request = BatchAsked(NOTHING_AFTER if own.whole_ticket else 0)
+            everything = BatchAsked(0, self._known_tickets())
+            request = BatchAsked(NOTHING_AFTER) if own.whole_ticket else everything
             answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
             told = expect(answer, BatchTold)
             if request.after and told.whole_ticket > own.whole_ticket:
-                answer = await link.call(BatchAsked(0), _ANSWER_TIMEOUT_SECONDS)
+                answer = await link.call(everything, _ANSWER_TIMEOUT_SECONDS)
                 told = expect(answer, BatchTold)
             if not told.after:
-                await self.apply_batch(link, told)
+                await self.apply_batch(link, await self._completed(link, told))
             self._compared_era_by_peer[peer.name] = (peer, era)
         except FleetError as error:
             _LOG.info("PullFailed", extra={"peer": peer.name, "why": str(error)})
@@ -425,8 +512,7 @@
         _LOG.warning("ZonesReleased", extra=extra)
         # A state that was kept from an earlier era has revision 0.
         before = min(state.revision for state in states) - 1
-        changes = view.batch_after(max(0, before))
-        await self._peers.send_to_neighbours(_encode_batch(changes))
+        await self._pass_on(max(0, before), view.configuration.whole_ticket)
         if self.on_changed is not None:
             await self.on_changed()
 
@@ -486,6 +572,13 @@
         self._was_lease_valid = is_valid
 
 
+def _is_operators_change(before: Configuration, after: Configuration) -> bool:
+    """Return whether operators have written a version or taken zones out or back."""
+    if after.whole_ticket > before.whole_ticket:
+        return True
+    return after.zone_by_name != before.zone_by_name
+
+
 def _encode_batch(batch: SharedBatch) -> BatchTold:
     return BatchTold(
         batch.after,
@@ -494,4 +587,5 @@
         assignments_to_bytes(batch.assignments),
         batch.whole_ticket,
         batch.era,
+        batch.whole_revision,
     )
