The loss of all readers of the store is noticed in time for a version (CONFIG)

Cause: a daemon noticed that nobody read the store any more by the age of its evidence alone. That comes with heartbeats and is up to 2 s old in a sound fleet, so the bound was 2.2 s, looked at every 0.8 s.

Change: each read is told from neighbour to neighbour at once. A daemon that has heard of none for 0.6 to 0.72 of ConfigApplyS reads the store itself and tells that; daemons differ by a fixed part, so that one reads for the others. The news renews no lease, as its age isn't known, and counts once for each read, so that it can't go round.

--- a/packages/adapters/src/bramleyglade_adapters/link/codec.py
+++ b/packages/adapters/src/bramleyglade_adapters/link/codec.py
@@ -196,6 +196,7 @@
     peer_messages.RetriesLent,
     peer_messages.ChangesAsked,
     peer_messages.ChangesTold,
+    peer_messages.StoreReadTold,
 )
 
 
--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -45,6 +45,7 @@
     retriesLent @38 :RetriesLent;
     changesAsked @39 :ChangesAsked;
     changesTold @40 :ChangesTold;
+    storeReadTold @41 :StoreReadTold;
   }
 }
 
@@ -158,6 +159,12 @@
   offset @3 :UInt64;
 }
 struct ChangesTold { data @0 :Data; }
+struct StoreReadTold {
+  reader @0 :DaemonId;
+  number @1 :UInt64;
+  revision @2 :UInt64;
+  era @3 :UInt32;
+}
 
 struct BatchTold {
   after @0 :UInt64;
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -233,6 +233,25 @@
     """Empty if the sender no longer has these changes."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreReadTold:
+    """A daemon has read the store; passed on by those that had not heard of that read.
+
+    It renews no lease, as its age is not known.
+    """
+
+    reader: DaemonId
+    number: int
+    """Number of the read; grows with each one of the reader."""
+    revision: int
+    """Store revision that the sender has merged."""
+    era: int = 0
+    """Era of the store that the revision belongs to; 0 without eras."""
+
+    def __post_init__(self) -> None:
+        _check_era(self.era)
+
+
 @dataclass(frozen=True, slots=True)
 class RecordsAsked:
     """A daemon requests member records."""
--- a/packages/core/src/bramleyglade_core/model/settings.py
+++ b/packages/core/src/bramleyglade_core/model/settings.py
@@ -41,6 +41,9 @@
     """Interval between two attempts to get fresh evidence."""
     stale_seconds: float = 3.0
     """Age of relayed evidence at which a daemon reads the store itself."""
+    silence_seconds: float | None = None
+    """Time without news of a read by any daemon after which a daemon reads the store
+    itself; None if only the age of its evidence counts."""
     readers: int = 16
     """Number of daemons that read the store on behalf of the fleet."""
     has_watches: bool = True
@@ -53,6 +56,10 @@
         _require(self.sample_size >= 3, "sample_size must be at least 3")
         _require(self.readers >= 1, "readers must be at least 1")
         _require(self.stale_seconds > 0, "stale_seconds must be above 0")
+        _require(
+            self.silence_seconds is None or self.silence_seconds > 0,
+            "silence_seconds must be above 0",
+        )
         _require(
             0 < self.refresh_seconds < self.term_seconds,
             "refresh_seconds must lie between 0 and term_seconds",
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -32,6 +32,7 @@
     RetriesLent,
     ServiceLoadTold,
     SightAsked,
+    StoreReadTold,
     SuspicionTold,
     TargetViewTold,
 )
@@ -136,6 +137,10 @@
         if not is_applied:
             await curio.spawn(self._shared.pull, link, daemon=True)
 
+    @_handle.register
+    async def _(self, message: StoreReadTold, link: Link, stream: int) -> None:
+        await self._shared.handle_store_read(link, message)
+
     @_handle.register
     async def _(self, message: RecordsAsked, link: Link, stream: int) -> None:
         directory = self._context.directory
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peers.py
@@ -246,6 +246,13 @@
             else:
                 await link.send_encoded(data, type(message).__name__)
 
+    async def send_to_current_neighbours(self, message: Any, exclude: str = "") -> None:
+        """Send a message that earlier versions can't decode to the other neighbours."""
+        data = encode_one_way(message)
+        for link in self.neighbour_links():
+            if link.peer_name != exclude and takes_changes(link):
+                await link.send_encoded(data, type(message).__name__)
+
     def has_older_neighbours(self) -> bool:
         """Return whether a neighbour doesn't take whole tickets as changes."""
         return not all(takes_changes(link) for link in self.neighbour_links())
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -21,6 +21,7 @@
     is_reached_by_majority,
     is_unreachable_for_majority,
 )
+from bramleyglade_core.decisions.read_silence import ReadSilence
 from bramleyglade_core.decisions.rendezvous import spread
 from bramleyglade_core.decisions.shared_view import SharedBatch
 from bramleyglade_core.decisions.store_era import EraChange
@@ -32,6 +33,7 @@
     ChangesTold,
     SightAsked,
     SightTold,
+    StoreReadTold,
 )
 from bramleyglade_core.model.settings import OutagePolicy
 from bramleyglade_daemon.fleet.era_survey import NOTHING_AFTER
@@ -87,6 +89,10 @@
         """Era in which the configuration was last compared with a peer's process."""
         self._comparing_with: set[str] = set()
         self._started_at = context.clock()
+        self._silence = ReadSilence(
+            context.settings.lease, context.clock(), context.random
+        )
+        self._read_count = 0
         self._watchers: frozenset[str] = frozenset()
         self._watcher_version = -1
         """Version of the directory's members that the watchers were chosen from."""
@@ -162,6 +168,29 @@
         await self._enter_era(era, 0, link.peer_name)
         self._context.view.note_revision(revision, era)
 
+    async def handle_store_read(self, link: Link, message: StoreReadTold) -> None:
+        """Note that a daemon has read the store, and pass that on."""
+        await self.note_revision(link, message.revision, message.era)
+        view = self._context.view
+        if message.era < view.era:
+            return
+        if message.revision > view.revision:
+            await curio.spawn(self.pull, link, daemon=True)
+        await self._tell_read(message.reader, message.number, link.peer_name)
+
+    async def _tell_own_read(self) -> None:
+        if self._context.settings.lease.silence_seconds is not None:
+            self._read_count += 1
+            await self._tell_read(self._context.daemon, self._read_count)
+
+    async def _tell_read(
+        self, reader: DaemonId, number: int, exclude: str = ""
+    ) -> None:
+        if self._silence.note_read(reader, number, self._context.clock()):
+            view = self._context.view
+            message = StoreReadTold(reader, number, view.revision, view.era)
+            await self._peers.send_to_current_neighbours(message, exclude)
+
     async def pull(self, link: Link) -> None:
         """Fetch the changes that this daemon lacks, from one peer after another.
 
@@ -275,8 +304,10 @@
             return True
         settings = self._context.settings.lease
         min_fresh_seconds = settings.term_seconds - settings.stale_seconds
-        if not lease.is_extended and lease.fresh_seconds > min_fresh_seconds:
-            await curio.sleep(settings.refresh_seconds)
+        left_seconds = self._silence.seconds_left(self._context.clock())
+        is_fresh = not lease.is_extended and lease.fresh_seconds > min_fresh_seconds
+        if is_fresh and left_seconds > 0:
+            await curio.sleep(min(settings.refresh_seconds, left_seconds))
             return True
         return await self._read_store()
 
@@ -378,6 +409,7 @@
         batch = read_batch(listing, after)
         self._unreadable.note_batch(batch)
         await self._apply(batch, source="")
+        await self._tell_own_read()
         # A change that could not be decoded may have withdrawn a key: the lease, which
         # bounds the time that such a key is accepted, is not renewed.
         if not view.is_current(listing.revision, listing.era):
--- a/tests/platform_adapter/test_platform_decoding.py
+++ b/tests/platform_adapter/test_platform_decoding.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import random
 
 import pytest
 
 from bramleyglade_core.decisions.admission import hash_key
 from bramleyglade_core.decisions.configuration import EMPTY_CONFIGURATION
+from bramleyglade_core.decisions.read_silence import ReadSilence
 from bramleyglade_core.model.entities import Route, UnreadableEntity, entity_key
 from bramleyglade_core.model.errors import BadInput, BadRequest, RouteRefused
 from bramleyglade_core.model.exchange import AnswerStarted, Header
@@ -81,6 +83,16 @@
     assert settings.daemon.lease.outage is OutagePolicy.GO_ON
 
 
+@pytest.mark.parametrize("seconds", [2, 3, 13])
+def test_store_is_read_well_within_the_time_for_a_version(tmp_path, seconds):
+    path = tmp_path / "settings.toml"
+    bounds = f'"RevokeS=5", "ConfigApplyS={seconds}"'
+    path.write_text(SETTINGS.replace('"RevokeS=5"', bounds), encoding="utf-8")
+    lease = load_platform_settings(str(path)).daemon.lease
+    silence = ReadSilence(lease, 0.0, random.Random(1))
+    assert lease.refresh_seconds < silence.seconds_left(0.0) <= 0.72 * seconds
+
+
 def test_routes_match_by_host_and_longest_prefix(configuration):
     router = configuration.router
     assert router.match("POST", "/issue/a", "shop.example").name == "r-issue"
