A daemon that awaits a version does not deny what it may allow

Such an answer claims to know the newest configuration. It is now 503, configuration-stale, with a time to come back; a request that the version in hand allows is served as before.

test_daemon_that_awaits_a_version_does_not_deny_what_it_may_allow guards against it; it uses SharedView.note_ticket, which is new, so it was not run on the code before.

--- a/packages/core/src/bramleyglade_core/decisions/admission.py
+++ b/packages/core/src/bramleyglade_core/decisions/admission.py
@@ -6,7 +6,12 @@
 import ipaddress
 from typing import TYPE_CHECKING
 
-from bramleyglade_core.model.errors import ErrorCode, KeyRefused
+from bramleyglade_core.model.errors import (
+    AttemptError,
+    ErrorCode,
+    FleetError,
+    KeyRefused,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -15,6 +20,18 @@
     from bramleyglade_core.model.entities import Route, Team
 
 
+_LATE_VERSION_RETRY_SECONDS = 0.5
+
+_OUTDATED_CODES = (
+    ErrorCode.NO_ROUTE,
+    ErrorCode.METHOD_NOT_ALLOWED,
+    ErrorCode.KEY_MISSING,
+    ErrorCode.KEY_UNKNOWN,
+    ErrorCode.KEY_NOT_ALLOWED,
+)
+"""Refusals by the content of the configuration, which a later version may change."""
+
+
 def hash_key(key: str) -> str:
     """Return the hexadecimal SHA-256 of a key; keys are random and need no salt."""
     return hashlib.sha256(key.encode()).hexdigest()
@@ -65,6 +82,24 @@
     return team
 
 
+def refusal_by_outdated(error: FleetError) -> FleetError:
+    """Return the refusal of a daemon that awaits a version known to be in force.
+
+    Args:
+        error: The refusal by the configuration that the daemon has.
+
+    Returns:
+        A refusal that lets the caller come back, if the version may allow the request.
+    """
+    if error.code not in _OUTDATED_CODES:
+        return error
+    return AttemptError(
+        ErrorCode.CONFIGURATION_STALE,
+        f"a later version of the configuration has not arrived yet: {error.detail}",
+        retry_after=_LATE_VERSION_RETRY_SECONDS,
+    )
+
+
 def is_own_vm(host: str, own_host: str, target_hosts: Container[str]) -> bool:
     """Return whether a connection comes from the VM that accepted it.
 
--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -48,6 +48,8 @@
         """Revision of the era up to which all changes in the store are merged."""
         self.newest_known_revision = 0
         """Highest revision of the era reported by the store or a peer."""
+        self.newest_known_ticket = 0
+        """Highest whole ticket that a peer has told to be in force."""
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.assignment_by_shard: dict[int, KeeperAssignment] = {}
         """Newest known assignments, also those that no later era has replaced yet."""
@@ -111,6 +113,15 @@
         if era == self.era:
             self.newest_known_revision = max(self.newest_known_revision, revision)
 
+    def note_ticket(self, whole_ticket: int) -> None:
+        """Record that a whole ticket is in force on a peer."""
+        self.newest_known_ticket = max(self.newest_known_ticket, whole_ticket)
+
+    @property
+    def awaits_ticket(self) -> bool:
+        """Whether a whole ticket is known to be in force that is not merged yet."""
+        return self.newest_known_ticket > self.configuration.whole_ticket
+
     def is_current(self, revision: int, era: int = 0) -> bool:
         """Return whether a revision is the newest known one and is merged.
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -226,6 +226,7 @@
 
     async def _completed(self, link: Link, told: BatchTold) -> BatchTold:
         """Return a peer's message with all changes of a newer whole ticket."""
+        self._context.view.note_ticket(told.whole_ticket)
         is_newer = told.whole_ticket > self._context.configuration.whole_ticket
         if not is_newer or len(told.changes) == told.changes_size:
             return told
@@ -240,6 +241,7 @@
         """
         assert link.peer is not None
         self._context.view.note_revision(message.up_to, message.era)
+        self._context.view.note_ticket(message.whole_ticket)
         states = states_from_bytes(message.states)
         is_newer = message.whole_ticket > self._context.configuration.whole_ticket
         if is_newer and message.changes_size:
--- a/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
+++ b/packages/daemon/src/bramleyglade_daemon/front/caller_exchange.py
@@ -11,7 +11,11 @@
 import curio
 
 from bramleyglade_adapters.telemetry import traceparent_of
-from bramleyglade_core.decisions.admission import authenticate, is_own_vm
+from bramleyglade_core.decisions.admission import (
+    authenticate,
+    is_own_vm,
+    refusal_by_outdated,
+)
 from bramleyglade_core.decisions.regions import allowed_regions
 from bramleyglade_core.decisions.routing import check_headers, host_of
 from bramleyglade_core.model.errors import (
@@ -19,6 +23,8 @@
     BadRequest,
     ErrorCode,
     FleetError,
+    KeyRefused,
+    RouteRefused,
 )
 from bramleyglade_core.model.exchange import (
     AnswerContinued,
@@ -168,10 +174,15 @@
             )
         check_length(head, configuration.caller_limits)
         host = host_of(head.header("host"))
-        route = configuration.router.find(head.method, head.target, host)
-        is_valid = self._context.lease.is_valid
-        log.note_route(self._context.view.revision, route)
-        team = authenticate(configuration, route, metadata.key, is_valid)
+        try:
+            route = configuration.router.find(head.method, head.target, host)
+            is_valid = self._context.lease.is_valid
+            log.note_route(self._context.view.revision, route)
+            team = authenticate(configuration, route, metadata.key, is_valid)
+        except (RouteRefused, KeyRefused) as error:
+            if self._context.view.awaits_ticket:
+                raise refusal_by_outdated(error) from None
+            raise
         log.note_route(self._context.view.revision, route, team)
         self._check_stop(metadata, route, has_key=team is not None)
         is_call = self._is_call(route, metadata)
--- a/tests/platform_adapter/test_configuration_growth.py
+++ b/tests/platform_adapter/test_configuration_growth.py
@@ -9,6 +9,8 @@
 import copy
 from collections import Counter
 
+import pytest
+
 from bramleyglade_standins.local_fleet import kill_daemon
 
 from .documents import CONFIGURATION
@@ -103,3 +105,27 @@
             d.context.configuration.whole_ticket == number for d in fleet.daemons[1:]
         )
     )
+
+
+@pytest.mark.parametrize(
+    ("request_fields", "status"),
+    [
+        ({"method": "GET", "path": "/added/a", "key": ""}, 404),
+        ({"key": "k-added"}, 401),
+        ({"key": ""}, 401),
+    ],
+)
+def test_daemon_that_awaits_a_version_does_not_deny_what_it_may_allow(
+    run_platform_fleet, request_fields, status
+):
+    async def scenario(fleet):
+        assert (await fleet.call(**request_fields))[1].status == status
+        fleet.daemons[0].context.view.note_ticket(8)
+        answer = (await fleet.call(**request_fields))[1]
+        assert answer.status == 503
+        assert any(header.name == "retry-after" for header in answer.headers)
+        assert (await fleet.call())[1].status == 200
+        await put(fleet, version(8, 0))
+        assert (await fleet.call(**request_fields))[1].status == status
+
+    run_platform_fleet(scenario)
