--- a/packages/standins/src/bramleyglade_standins/local_fleet.py
+++ b/packages/standins/src/bramleyglade_standins/local_fleet.py
@@ -152,6 +152,8 @@
     def __init__(self) -> None:
         self.has_short_terms = True
         """Whether `start` shortens leases and intervals."""
+        self.lease_settings: LeaseSettings | None = None
+        """Settings of the leases; None for those of `make_settings`."""
         self.store = MemoryStore()
         self.ticket_repository = TicketRepository(self.store)
         self.settings: list[DaemonSettings] = []
@@ -175,6 +177,8 @@
             settings = replace(settings, region=_region_of(zone, ticket))
             if self.has_short_terms:
                 settings = shorten_terms(settings)
+            if self.lease_settings is not None:
+                settings = replace(settings, lease=self.lease_settings)
             self.settings.append(settings)
             await self.start_daemon(index)
         for index in range(daemons):
