--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -119,23 +119,27 @@
 
     @_handle.register
     async def _(self, message: BatchAsked, link: Link, stream: int) -> None:
-        await self._send_answer(link, stream, self._shared.batch_for_peer(message))
+        await self._send_answer(
+            link, stream, self._shared.batches.batch_for_peer(message)
+        )
 
     @_handle.register
     async def _(self, message: ChangesAsked, link: Link, stream: int) -> None:
-        await self._send_answer(link, stream, self._shared.changes_for_peer(message))
+        await self._send_answer(
+            link, stream, self._shared.batches.changes_for_peer(message)
+        )
 
     @_handle.register
     async def _(self, message: BatchTold, link: Link, stream: int) -> None:
         try:
-            is_applied = await self._shared.apply_batch(link, message)
+            is_applied = await self._shared.batches.apply(link, message)
         except BadInput as error:
             # The link goes on, as requests are on it.
             extra = {"peer": link.peer_name, "why": str(error)}
             _LOG.error("BatchUnreadable", extra=extra)
             return
         if not is_applied:
-            await curio.spawn(self._shared.pull, link, daemon=True)
+            await curio.spawn(self._shared.batches.pull, link, daemon=True)
 
     @_handle.register
     async def _(self, message: StoreReadTold, link: Link, stream: int) -> None:
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -3,19 +3,11 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import curio
 
-from bramleyglade_adapters.store.shared_objects import (
-    SHARED_PREFIX,
-    assignments_from_bytes,
-    assignments_to_bytes,
-    read_batch,
-    states_from_bytes,
-    states_to_bytes,
-)
+from bramleyglade_adapters.store.shared_objects import SHARED_PREFIX, read_batch
 from bramleyglade_core.decisions.lease import (
     StoreReport,
     is_reached_by_majority,
@@ -23,14 +15,11 @@
 )
 from bramleyglade_core.decisions.read_silence import ReadSilence
 from bramleyglade_core.decisions.rendezvous import spread
-from bramleyglade_core.decisions.shared_view import SharedBatch
 from bramleyglade_core.decisions.store_era import EraChange
 from bramleyglade_core.model.errors import FleetError, StoreError, StoreRestored
 from bramleyglade_core.model.peer_messages import (
     BatchAsked,
     BatchTold,
-    ChangesAsked,
-    ChangesTold,
     SightAsked,
     SightTold,
     StoreReadTold,
@@ -38,9 +27,9 @@
 from bramleyglade_core.model.settings import OutagePolicy
 from bramleyglade_daemon.fleet.era_survey import NOTHING_AFTER
 from bramleyglade_daemon.fleet.gather import gather
+from bramleyglade_daemon.fleet.peer_batches import PeerBatches
 from bramleyglade_daemon.fleet.peers import expect
 from bramleyglade_daemon.fleet.revision_lag import RevisionLag
-from bramleyglade_daemon.fleet.ticket_changes import PIECE_BYTES, TicketChanges
 from bramleyglade_daemon.fleet.unreadable_changes import UnreadableChanges
 
 if TYPE_CHECKING:
@@ -48,6 +37,7 @@
 
     from bramleyglade_adapters.link.link import Link
     from bramleyglade_core.decisions.configuration import Configuration
+    from bramleyglade_core.decisions.shared_view import SharedBatch
     from bramleyglade_core.model.identifiers import DaemonId
     from bramleyglade_core.model.peer_messages import HeartbeatAnswered
     from bramleyglade_core.ports.store import Listing
@@ -80,11 +70,8 @@
         self._is_store_reachable = False
         """Whether the latest call to the store was answered."""
         self._unreadable = UnreadableChanges(context)
-        self._changes = TicketChanges(context)
-        self._lag = RevisionLag(context, self._changes)
-        self._is_pulling = False
-        self._source_by_name: dict[str, Link] = {}
-        """Peers to pull from, the last one to tell of a newer revision at the end."""
+        self.batches = PeerBatches(context, peers, self._apply)
+        self._lag = RevisionLag(context, self.batches.changes)
         self._compared_era_by_peer: dict[str, tuple[DaemonId, int]] = {}
         """Era in which the configuration was last compared with a peer's process."""
         self._comparing_with: set[str] = set()
@@ -147,7 +134,7 @@
     async def _catch_up(
         self, link: Link, answer: HeartbeatAnswered, sent_at: float
     ) -> None:
-        await self.pull(link)
+        await self.batches.pull(link)
         await self._adopt_lease(link, answer, sent_at)
 
     async def _adopt_lease(
@@ -175,7 +162,7 @@
         if message.era < view.era:
             return
         if message.revision > view.revision:
-            await curio.spawn(self.pull, link, daemon=True)
+            await curio.spawn(self.batches.pull, link, daemon=True)
         await self._tell_read(message.reader, message.number, link.peer_name)
 
     async def _tell_own_read(self) -> None:
@@ -191,87 +178,6 @@
             message = StoreReadTold(reader, number, view.revision, view.era)
             await self._peers.send_to_current_neighbours(message, exclude)
 
-    async def pull(self, link: Link) -> None:
-        """Fetch the changes that this daemon lacks, from one peer after another.
-
-        Args:
-            link: Link to a peer that knows of changes. If changes are being fetched
-                already, it is asked after that, if it is still needed.
-        """
-        self._source_by_name[link.peer_name] = link
-        if self._is_pulling:
-            return
-        self._is_pulling = True
-        view = self._context.view
-        try:
-            while self._source_by_name:
-                _, source = self._source_by_name.popitem()
-                await self._pull_from(source)
-                if view.is_current(view.revision, view.era):
-                    self._source_by_name.clear()
-        finally:
-            self._is_pulling = False
-
-    async def _pull_from(self, link: Link) -> None:
-        request = BatchAsked(self._context.view.revision, self._known_tickets())
-        try:
-            answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
-            told = await self._completed(link, expect(answer, BatchTold))
-            await self.apply_batch(link, told)
-        except FleetError as error:
-            _LOG.info("PullFailed", extra={"peer": link.peer_name, "why": str(error)})
-
-    def _known_tickets(self) -> tuple[int, ...]:
-        return self._context.configuration.known_tickets or (0,)
-
-    async def _completed(self, link: Link, told: BatchTold) -> BatchTold:
-        """Return a peer's message with all changes of a newer whole ticket."""
-        self._context.view.note_ticket(told.whole_ticket)
-        is_newer = told.whole_ticket > self._context.configuration.whole_ticket
-        if not is_newer or len(told.changes) == told.changes_size:
-            return told
-        return replace(told, changes=await self._changes.fetch(link, told))
-
-    async def apply_batch(self, link: Link, message: BatchTold) -> bool:
-        """Merge changes relayed by a peer; False if others must be fetched first.
-
-        Raises:
-            BadInput: If they can't be decoded. No lease is renewed at a revision below
-                theirs from then on.
-        """
-        assert link.peer is not None
-        self._context.view.note_revision(message.up_to, message.era)
-        self._context.view.note_ticket(message.whole_ticket)
-        states = states_from_bytes(message.states)
-        is_newer = message.whole_ticket > self._context.configuration.whole_ticket
-        if is_newer and message.changes_size:
-            if len(message.changes) < message.changes_size:
-                return False
-            states += self._changes.decoded(message)
-        batch = SharedBatch(
-            message.after,
-            message.up_to,
-            states,
-            assignments_from_bytes(message.assignments),
-            message.whole_ticket,
-            message.era,
-            whole_revision=message.whole_revision,
-            base_ticket=message.base_ticket,
-        )
-        return await self._apply(batch, link.peer.daemon.name)
-
-    def batch_for_peer(self, request: BatchAsked) -> BatchTold:
-        """Return the changes that a peer at a revision lacks."""
-        view = self._context.view
-        if not request.known_tickets:
-            return _encode_batch(view.batch_after(request.after))
-        batch = view.batch_since(request.after, request.known_tickets)
-        return self._changes.told(batch, PIECE_BYTES)
-
-    def changes_for_peer(self, request: ChangesAsked) -> ChangesTold:
-        """Return the next piece of changes that a peer is fetching."""
-        return self._changes.piece(request)
-
     async def report_store_contact(self) -> SightTold:
         """Report whether this daemon reaches the store, after a new call if needed."""
         if (
@@ -445,32 +351,15 @@
         # In a new era every daemon reads all once, when a heartbeat tells it the era.
         is_known = view.era and not before and configuration.state_by_key
         if is_late or not is_known:
-            base_ticket = self._base_to_tell(batch, configuration)
+            base_ticket = self.batches.base_to_tell(batch, configuration)
             is_urgent = _is_operators_change(configuration, view.configuration)
-            await self._pass_on(after, base_ticket, source, is_pulled=not is_urgent)
+            await self.batches.pass_on(
+                after, base_ticket, source, is_pulled=not is_urgent
+            )
         if self.on_changed is not None:
             await self.on_changed()
         return True
 
-    def _base_to_tell(self, batch: SharedBatch, former: Configuration) -> int:
-        """Return the whole ticket that most peers are expected to have."""
-        if batch.base_ticket in self._context.configuration.known_tickets:
-            return batch.base_ticket
-        return former.whole_ticket
-
-    async def _pass_on(
-        self, after: int, base_ticket: int, source: str = "", is_pulled: bool = False
-    ) -> None:
-        """Tell the neighbours what has changed after a revision and a whole ticket."""
-        view = self._context.view
-        message = self._changes.announced(view.batch_since(after, (base_ticket,)))
-        older_message = None
-        if self._peers.has_older_neighbours():
-            older_message = _encode_batch(view.batch_after(after))
-        await self._peers.send_to_neighbours(
-            message, source, is_pulled=is_pulled, older_message=older_message
-        )
-
     async def _enter_era(self, era: int, revision: int, source: str) -> bool:
         """Start over if the store's era has risen; return whether it has."""
         view = self._context.view
@@ -510,7 +399,7 @@
         own = self._context.configuration
         try:
             # Only a whole ticket's number shows whether the peer's version is newer.
-            everything = BatchAsked(0, self._known_tickets())
+            everything = BatchAsked(0, self.batches.known_tickets())
             request = BatchAsked(NOTHING_AFTER) if own.whole_ticket else everything
             answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
             told = expect(answer, BatchTold)
@@ -518,7 +407,7 @@
                 answer = await link.call(everything, _ANSWER_TIMEOUT_SECONDS)
                 told = expect(answer, BatchTold)
             if not told.after:
-                await self.apply_batch(link, await self._completed(link, told))
+                await self.batches.apply(link, await self.batches.completed(link, told))
             self._compared_era_by_peer[peer.name] = (peer, era)
         except FleetError as error:
             _LOG.info("PullFailed", extra={"peer": peer.name, "why": str(error)})
@@ -546,7 +435,7 @@
         _LOG.warning("ZonesReleased", extra=extra)
         # A state that was kept from an earlier era has revision 0.
         before = min(state.revision for state in states) - 1
-        await self._pass_on(max(0, before), view.configuration.whole_ticket)
+        await self.batches.pass_on(max(0, before), view.configuration.whole_ticket)
         if self.on_changed is not None:
             await self.on_changed()
 
@@ -611,15 +500,3 @@
     if after.whole_ticket > before.whole_ticket:
         return True
     return after.zone_by_name != before.zone_by_name
-
-
-def _encode_batch(batch: SharedBatch) -> BatchTold:
-    return BatchTold(
-        batch.after,
-        batch.up_to,
-        states_to_bytes(batch.states),
-        assignments_to_bytes(batch.assignments),
-        batch.whole_ticket,
-        batch.era,
-        batch.whole_revision,
-    )
--- a/tests/test_peer_configuration.py
+++ b/tests/test_peer_configuration.py
@@ -157,8 +157,8 @@
         if len(self.asked_for) > self.answers:
             raise FleetError(ErrorCode.PEER_LOST, "the link is lost")
         if isinstance(message, BatchAsked):
-            return self.shared.batch_for_peer(message)
-        return self.shared.changes_for_peer(message)
+            return self.shared.batches.batch_for_peer(message)
+        return self.shared.batches.changes_for_peer(message)
 
 
 @pytest.fixture
@@ -178,9 +178,9 @@
     async def main():
         first = ChangesLink("vm-1", peer_context, answers=2)
         second = ChangesLink("vm-2", peer_context, answers=100)
-        await shared.pull(first)
+        await shared.batches.pull(first)
         assert not shared._context.configuration.is_known
-        await shared.pull(second)
+        await shared.batches.pull(second)
         assert shared._context.configuration.whole_ticket == 7
         assert len(shared._context.configuration.team_by_name) == 4000
         assert second.asked_for[1].offset == 2 * PIECE_BYTES
@@ -192,12 +192,12 @@
     async def main():
         link = ChangesLink("vm-1", peer_context, answers=100)
         request = BatchAsked(0, (0,))
-        told = link.shared.batch_for_peer(request)
+        told = link.shared.batches.batch_for_peer(request)
         assert len(encode_one_way(told)) < 2 * PIECE_BYTES
         offset = len(told.changes)
         while offset < told.changes_size:
             asked = ChangesAsked(0, 7, told.changes_digest, offset)
-            piece = link.shared.changes_for_peer(asked)
+            piece = link.shared.batches.changes_for_peer(asked)
             assert 0 < len(piece.data) <= PIECE_BYTES
             offset += len(piece.data)
         assert offset == told.changes_size
@@ -221,14 +221,14 @@
 
     async def main():
         link = ChangesLink("vm-1", peer_context, answers=2)
-        await shared.pull(link)
+        await shared.batches.pull(link)
         view = peer_context.view
         later = Ticket(9, "", (Team("one", 1.0, 1),), is_whole=True)
         view.apply(SharedBatch(3, 4, tuple(later.states(4)), (), 9, ERA))
-        told = link.shared.batch_for_peer(BatchAsked(0, (0,)))
+        told = link.shared.batches.batch_for_peer(BatchAsked(0, (0,)))
         assert told.whole_ticket == 9
-        asked = ChangesAsked(0, 7, shared._changes._partial.digest, PIECE_BYTES)
-        assert link.shared.changes_for_peer(asked).data
+        asked = ChangesAsked(0, 7, shared.batches.changes._partial.digest, PIECE_BYTES)
+        assert link.shared.batches.changes_for_peer(asked).data
 
     curio.run(main)
 
@@ -251,12 +251,12 @@
         shared = SharedState(peer_context, Peers(peer_context))
         shared._peers.link_by_name["vm-1"] = OlderLink()
         shared._peers.set_neighbours(["vm-1"])
-        await shared._pass_on(0, 0)
+        await shared.batches.pass_on(0, 0)
         (message,) = sent
         assert not message.changes_size
         assert message.whole_ticket == 7
         assert len(states_from_bytes(message.states)) == 4000
-        told = shared.batch_for_peer(BatchAsked(0))
+        told = shared.batches.batch_for_peer(BatchAsked(0))
         assert (told.states, told.changes_size) == (message.states, 0)
 
     curio.run(main)
