A daemon at a peer's revision asks for a version that it lacks (CONFIG)

A daemon that was started again while the store's newest version could not be decoded answered 503 to everything until another version was written.

Cause: a daemon asked a peer only where that had a newer revision. One that had read the store itself was at the revision before the unreadable version, as its peers, but without the version in force, which the store no longer has. Whether it read the store or heard a heartbeat first was left to chance.

Change: answers to heartbeats name the whole ticket in force; a daemon asks for a higher one than its own, whatever its revision. Also covers a version that was lost on its way between daemons. What a peer has told is forgotten at the beginning of an era.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -102,6 +102,7 @@
   zones @6 :ZonesTold;
   reserved7 @7 :Void;
   era @8 :UInt32;
+  wholeTicket @9 :UInt64;
 }
 
 struct ServiceDemandTold { service @0 :Text; perSecond @1 :Float32; }
--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -73,6 +73,8 @@
             return False
         self._former = (self.era, self.revision)
         self.era, self.revision, self.newest_known_revision = era, 0, 0
+        # No peer may have a version that the store has lost.
+        self.newest_known_ticket = self.configuration.whole_ticket
         self.configuration = self.configuration.without_revisions()
         self._zone_hold.begin(now)
         return True
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -168,6 +168,8 @@
     """Demand and capacity by zone."""
     era: int = 0
     """Era of the store that the revision belongs to; 0 without eras."""
+    whole_ticket: int = 0
+    """Highest ticket that carried all entities; 0 if none did."""
 
     def __post_init__(self) -> None:
         _check_era(self.era)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/message_handler.py
@@ -114,6 +114,7 @@
                 link.peer_name, self._context.clock()
             ),
             era=self._context.view.era,
+            whole_ticket=self._context.configuration.whole_ticket,
         )
         await self._send_answer(link, stream, answer)
 
--- a/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/shared_state.py
@@ -126,7 +126,11 @@
         await self.note_revision(link, answer.revision, answer.era)
         if answer.era != view.era:
             return
-        if answer.revision > view.revision:
+        # A daemon may have merged the revision without the version in force: the store
+        # has no earlier one than the newest, which it may be unable to decode.
+        view.note_ticket(answer.whole_ticket)
+        is_ticket_newer = answer.whole_ticket > view.configuration.whole_ticket
+        if answer.revision > view.revision or is_ticket_newer:
             await curio.spawn(self._catch_up, link, answer, sent_at, daemon=True)
         else:
             await self._adopt_lease(link, answer, sent_at)
--- a/tests/test_peer_configuration.py
+++ b/tests/test_peer_configuration.py
@@ -40,6 +40,8 @@
 from bramleyglade_standins.memory_store import MemoryStore
 
 ERA = 2
+HANG_SECONDS = 20.0
+"""Time after which a test that hangs is ended."""
 HEARTBEAT = HeartbeatAnswered(0, 0, 5.0, 5.0, era=ERA)
 
 
@@ -209,13 +211,32 @@
     async def main():
         link = ComparedLink()
         answer = replace(HEARTBEAT, revision=9)
-        await shared.apply_heartbeat_answer(link, answer, shared._context.clock())
-        await link.asked.wait()
+        async with curio.timeout_after(HANG_SECONDS):
+            await shared.apply_heartbeat_answer(link, answer, shared._context.clock())
+            await link.asked.wait()
         assert not shared._context.lease.is_valid
 
     curio.run(main)
 
 
+def test_daemon_at_the_revision_of_a_peer_asks_for_a_version_that_it_lacks(
+    shared, peer_context
+):
+    """It had read the store, whose newest version could not be decoded."""
+
+    async def main():
+        view = shared._context.view
+        view.apply(SharedBatch(0, 3, era=ERA), shared._context.clock())
+        link = ChangesLink("vm-1", peer_context, answers=100)
+        answer = replace(HEARTBEAT, revision=3, whole_ticket=7)
+        await shared.apply_heartbeat_answer(link, answer, shared._context.clock())
+        async with curio.timeout_after(HANG_SECONDS):
+            while not view.configuration.is_known:
+                await curio.sleep(0.01)
+
+    curio.run(main)
+
+
 def test_version_that_a_peer_replaced_meanwhile_is_still_fetched(shared, peer_context):
     """Or a slow transfer would begin anew with each version and never end."""
 
