A daemon whose content of a version differs gets all of the next one (CONFIG)

Daemons of two versions of the program may decode an entity in two ways, such as a route that only the later one can decode.

Change: a batch has the digest of all entities after its version. A daemon that arrives at another one merges nothing, logs ContentDiffers and asks the same peer for all entities. The digest is combined from those of the entities, so it costs as much as a change.

test_daemon_whose_content_of_a_version_differs_gets_all_of_the_next_one failed before: the changes were merged.

Also: one function encodes a batch; the level of compression is described, not justified.

--- a/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
+++ b/packages/adapters/src/bramleyglade_adapters/link/peer.capnp
@@ -179,6 +179,7 @@
   changes @8 :Data;
   changesSize @9 :UInt64;
   changesDigest @10 :UInt64;
+  wholeDigest @11 :UInt64;
 }
 
 struct RecordsAsked { digests @0 :List(UInt64); }  # Empty for all records.
--- a/packages/adapters/src/bramleyglade_adapters/store/encoded_changes.py
+++ b/packages/adapters/src/bramleyglade_adapters/store/encoded_changes.py
@@ -21,7 +21,7 @@
 """Largest size of decompressed changes that is accepted from a peer."""
 
 _COMPRESSION_LEVEL = 1
-"""Higher levels save a tenth of the bytes for twice the processor time."""
+"""Level of zlib, 1 to 9; higher ones take more processor time for fewer bytes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/bramleyglade_core/decisions/configuration.py
+++ b/packages/core/src/bramleyglade_core/decisions/configuration.py
@@ -7,6 +7,8 @@
 from functools import cached_property
 from typing import TYPE_CHECKING, TypeVar
 
+import xxhash
+
 from bramleyglade_core.decisions.routing import Router
 from bramleyglade_core.model.entities import (
     KIND_BY_TYPE,
@@ -70,6 +72,7 @@
         whole_ticket: int = 0,
         whole_revision: int = 0,
         past_tickets: tuple[PastTicket, ...] = (),
+        may_differ: bool = False,
     ) -> None:
         self.state_by_key = state_by_key
         """State of each entity ever configured; removed ones as tombstones, unless a
@@ -80,6 +83,8 @@
         """Store revision of that ticket; 0 if it was read in an earlier era."""
         self.past_tickets = past_tickets
         """Whole tickets that were in force before, the newest first."""
+        self.may_differ = may_differ
+        """Whether a peer has another content of a whole ticket known here."""
 
     def merged(
         self,
@@ -136,8 +141,10 @@
             latest_whole,
             whole_revision if is_new_whole else self.whole_revision,
             self._past_after(changes, is_new_whole),
+            self.may_differ and not is_new_whole,
         )
         configuration._adopt_indexes(self, {key.kind for key in changes})
+        configuration._adopt_digest(self, changes)
         return configuration
 
     def ticket_of(self, state: EntityState) -> int:
@@ -150,16 +157,31 @@
     def known_tickets(self) -> tuple[int, ...]:
         """Whole tickets that changes can be told from, the one in force first.
 
-        Empty if there is none, or if a later ticket has changed single entities.
+        Empty if there is none, if a later ticket has changed single entities, or if a
+        peer has another content of one of them.
         """
         is_amended = any(
             state.ticket > self.whole_ticket and _is_of_whole_kind(state)
             for state in self.state_by_key.values()
         )
-        if not self.whole_ticket or is_amended:
+        if not self.whole_ticket or is_amended or self.may_differ:
             return ()
         return (self.whole_ticket, *(past.number for past in self.past_tickets))
 
+    @cached_property
+    def whole_digest(self) -> int:
+        """Digest of all entities of the `WHOLE_TICKET_KINDS`, a number of 64 bits."""
+        digest = 0
+        for state in self.state_by_key.values():
+            digest ^= _digest_of(state)
+        return digest
+
+    def without_known_tickets(self) -> Configuration:
+        """Return the same configuration, which can't be told changes any more."""
+        return Configuration(
+            self.state_by_key, self.whole_ticket, self.whole_revision, may_differ=True
+        )
+
     def changes_since(self, base_ticket: int) -> tuple[EntityState, ...]:
         """Return what the whole ticket in force has changed since an earlier one.
 
@@ -190,7 +212,9 @@
     def without_revisions(self) -> Configuration:
         """Return the same configuration as of before the first revision of an era."""
         states = {k: replace(s, revision=0) for k, s in self.state_by_key.items()}
-        return Configuration(states, self.whole_ticket, 0, self.past_tickets)
+        return Configuration(
+            states, self.whole_ticket, 0, self.past_tickets, self.may_differ
+        )
 
     def states_after(self, revision: int) -> tuple[EntityState, ...]:
         """Return the states set by tickets accepted after a revision; all after 0."""
@@ -262,6 +286,19 @@
             if name in former.__dict__ and not kinds & changed_kinds:
                 self.__dict__[name] = former.__dict__[name]
 
+    def _adopt_digest(
+        self,
+        former: Configuration,
+        changes: Mapping[EntityKey, EntityState | None],
+    ) -> None:
+        """Derive the digest from a former one, at the cost of what has changed."""
+        if "whole_digest" not in former.__dict__:
+            return
+        digest = former.whole_digest
+        for key, state in changes.items():
+            digest ^= _digest_of(former.state_by_key.get(key)) ^ _digest_of(state)
+        self.__dict__["whole_digest"] = digest
+
     @cached_property
     def is_known(self) -> bool:
         """Whether operators' configuration was received, and not only their zones."""
@@ -359,6 +396,13 @@
     return state.key.kind in WHOLE_TICKET_KINDS
 
 
+def _digest_of(state: EntityState | None) -> int:
+    if state is None or state.entity is None or not _is_of_whole_kind(state):
+        return 0
+    text = f"{state.key}|{state.entity!r}"
+    return xxhash.xxh64_intdigest(text.encode(errors="backslashreplace"))
+
+
 def _entity_of(state: EntityState | None) -> Entity | None:
     return None if state is None else state.entity
 
--- a/packages/core/src/bramleyglade_core/decisions/shared_view.py
+++ b/packages/core/src/bramleyglade_core/decisions/shared_view.py
@@ -36,6 +36,8 @@
     base_ticket: int = 0
     """Earlier whole ticket, if `states` has only what the whole ticket has changed
     since that one; 0 if it has all that the whole ticket carries."""
+    whole_digest: int = 0
+    """Digest of the entities after the whole ticket at the sender; 0 if not told."""
 
 
 class SharedView:
@@ -89,7 +91,8 @@
 
         Returns:
             False if the batch would leave a gap, or has changes since a ticket that is
-            not known here; nothing but the era is changed then.
+            not known here, or whose content differs here; nothing but the era is
+            changed then. In the last case all entities must be fetched.
         """
         if batch.era < self.era:
             self._apply_late(batch)
@@ -98,7 +101,8 @@
         self.note_revision(max(batch.up_to, batch.newest_revision), batch.era)
         if batch.after > self.revision or not self._knows_base_of(batch):
             return False
-        self._merge_states(batch)
+        if not self._merge_states(batch):
+            return False
         for assignment in batch.assignments:
             self._merge_assignment(assignment)
         self.revision = max(self.revision, batch.up_to)
@@ -162,6 +166,7 @@
             era=self.era,
             whole_revision=configuration.whole_revision if is_newer else 0,
             base_ticket=next(shared, 0) if is_newer else 0,
+            whole_digest=configuration.whole_digest if is_newer else 0,
         )
 
     def batch_after(self, revision: int) -> SharedBatch:
@@ -216,20 +221,28 @@
         era, revision = self._former
         is_gapless = batch.after <= revision and self._knows_base_of(batch)
         if batch.era == era and is_gapless:
-            self._former = (era, max(revision, batch.up_to))
             states = tuple(replace(state, revision=0) for state in batch.states)
-            self._merge_states(replace(batch, states=states), whole_revision=0)
+            if self._merge_states(replace(batch, states=states), whole_revision=0):
+                self._former = (era, max(revision, batch.up_to))
 
     def _merge_states(
         self, batch: SharedBatch, whole_revision: int | None = None
-    ) -> None:
+    ) -> bool:
+        """Merge the states; False if they lead to another content than the sender's."""
         current = self.configuration
         states = self._zone_hold.filter(batch.states, current.state_by_key)
         if whole_revision is None:
             whole_revision = batch.whole_revision or _revision_of_whole(batch)
-        self.configuration = current.merged(
+        merged = current.merged(
             states, batch.whole_ticket, whole_revision, batch.base_ticket
         )
+        is_from_changes = bool(batch.base_ticket and batch.whole_digest)
+        if is_from_changes and batch.whole_ticket > current.whole_ticket:
+            if merged.whole_digest != batch.whole_digest:
+                self.configuration = current.without_known_tickets()
+                return False
+        self.configuration = merged
+        return True
 
     def _merge_assignment(self, assignment: KeeperAssignment) -> None:
         current = self.assignment_by_shard.get(assignment.shard)
--- a/packages/core/src/bramleyglade_core/model/peer_messages.py
+++ b/packages/core/src/bramleyglade_core/model/peer_messages.py
@@ -209,6 +209,8 @@
     """Size of the compressed changes, in bytes; 0 if `states` has all changes."""
     changes_digest: int = 0
     """Digest of the compressed changes."""
+    whole_digest: int = 0
+    """Digest of the entities after the whole ticket; 0 if it is not told."""
 
     def __post_init__(self) -> None:
         _check_era(self.era)
--- a/packages/daemon/src/bramleyglade_daemon/fleet/peer_batches.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/peer_batches.py
@@ -8,9 +8,7 @@
 
 from bramleyglade_adapters.store.shared_objects import (
     assignments_from_bytes,
-    assignments_to_bytes,
     states_from_bytes,
-    states_to_bytes,
 )
 from bramleyglade_core.decisions.shared_view import SharedBatch
 from bramleyglade_core.model.errors import FleetError
@@ -21,7 +19,11 @@
     ChangesTold,
 )
 from bramleyglade_daemon.fleet.peers import expect
-from bramleyglade_daemon.fleet.ticket_changes import PIECE_BYTES, TicketChanges
+from bramleyglade_daemon.fleet.ticket_changes import (
+    PIECE_BYTES,
+    TicketChanges,
+    encode_batch,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -78,14 +80,20 @@
             self._is_pulling = False
 
     async def _pull_from(self, link: Link) -> None:
-        request = BatchAsked(self._context.view.revision, self.known_tickets())
         try:
-            answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
-            told = await self.completed(link, expect(answer, BatchTold))
-            await self.apply(link, told)
+            # The first answer may begin after a ticket whose content differs here.
+            if not await self._ask(link):
+                await self._ask(link)
         except FleetError as error:
             _LOG.info("PullFailed", extra={"peer": link.peer_name, "why": str(error)})
 
+    async def _ask(self, link: Link) -> bool:
+        """Fetch and merge what a peer has; False if it could not be merged."""
+        request = BatchAsked(self._context.view.revision, self.known_tickets())
+        answer = await link.call(request, _ANSWER_TIMEOUT_SECONDS)
+        told = await self.completed(link, expect(answer, BatchTold))
+        return await self.apply(link, told)
+
     def known_tickets(self) -> tuple[int, ...]:
         """Return the whole tickets that this daemon can be told the changes since."""
         return self._context.configuration.known_tickets or (0,)
@@ -128,14 +136,20 @@
             message.era,
             whole_revision=message.whole_revision,
             base_ticket=message.base_ticket,
+            whole_digest=message.whole_digest,
         )
-        return await self._merge(batch, link.peer.daemon.name)
+        is_merged = await self._merge(batch, link.peer.daemon.name)
+        if not is_merged and self._context.configuration.may_differ:
+            extra = {"peer": link.peer_name, "whole_ticket": message.whole_ticket}
+            _LOG.warning("ContentDiffers", extra=extra)
+            self._context.telemetry.note_event("ContentDiffers")
+        return is_merged
 
     def batch_for_peer(self, request: BatchAsked) -> BatchTold:
         """Return the changes that a peer at a revision lacks."""
         view = self._context.view
         if not request.known_tickets:
-            return _encode_batch(view.batch_after(request.after))
+            return encode_batch(view.batch_after(request.after))
         batch = view.batch_since(request.after, request.known_tickets)
         return self.changes.told(batch, PIECE_BYTES)
 
@@ -157,19 +171,7 @@
         message = self.changes.announced(view.batch_since(after, (base_ticket,)))
         older_message = None
         if self._peers.has_older_neighbours():
-            older_message = _encode_batch(view.batch_after(after))
+            older_message = encode_batch(view.batch_after(after))
         await self._peers.send_to_neighbours(
             message, source, is_pulled=is_pulled, older_message=older_message
         )
-
-
-def _encode_batch(batch: SharedBatch) -> BatchTold:
-    return BatchTold(
-        batch.after,
-        batch.up_to,
-        states_to_bytes(batch.states),
-        assignments_to_bytes(batch.assignments),
-        batch.whole_ticket,
-        batch.era,
-        batch.whole_revision,
-    )
--- a/packages/daemon/src/bramleyglade_daemon/fleet/ticket_changes.py
+++ b/packages/daemon/src/bramleyglade_daemon/fleet/ticket_changes.py
@@ -73,16 +73,7 @@
             batch: The batch.
             most_bytes: Most bytes of the whole ticket's changes in it.
         """
-        message = BatchTold(
-            batch.after,
-            batch.up_to,
-            states_to_bytes(batch.states),
-            assignments_to_bytes(batch.assignments),
-            batch.whole_ticket,
-            batch.era,
-            batch.whole_revision,
-            batch.base_ticket,
-        )
+        message = encode_batch(batch)
         if not batch.whole_ticket or not self._context.configuration.known_tickets:
             return message
         encoded = self._encode(batch.base_ticket)
@@ -205,3 +196,18 @@
         self._encoded_by_tickets.move_to_end(tickets)
         while len(self._encoded_by_tickets) > _MAX_ENCODED:
             self._encoded_by_tickets.popitem(last=False)
+
+
+def encode_batch(batch: SharedBatch) -> BatchTold:
+    """Return the message for a batch, without the changes of a whole ticket."""
+    return BatchTold(
+        batch.after,
+        batch.up_to,
+        states_to_bytes(batch.states),
+        assignments_to_bytes(batch.assignments),
+        batch.whole_ticket,
+        batch.era,
+        batch.whole_revision,
+        batch.base_ticket,
+        whole_digest=batch.whole_digest,
+    )
--- a/tests/test_peer_configuration.py
+++ b/tests/test_peer_configuration.py
@@ -281,3 +281,28 @@
         assert (told.states, told.changes_size) == (message.states, 0)
 
     curio.run(main)
+
+
+def test_version_is_fetched_whole_where_changes_do_not_lead_to_it(shared, peer_context):
+    """The content of the version before differs here, under the same number."""
+
+    async def main():
+        view = shared._context.view
+        former = Ticket(7, "", (Team("another", 1.0, 1),), is_whole=True)
+        view.apply(SharedBatch(0, 3, tuple(former.states(3)), (), 7, ERA))
+        names = peer_context.configuration.team_by_name
+        later = Ticket(9, "", (*names.values(), Team("one", 1.0, 1)), is_whole=True)
+        states = tuple(later.states(4))
+        peer_context.view.apply(SharedBatch(3, 4, states, (), 9, ERA))
+        link = ChangesLink("vm-1", peer_context, answers=100)
+        await shared.batches.pull(link)
+        teams = shared._context.configuration.team_by_name
+        assert teams == peer_context.configuration.team_by_name
+        assert [
+            m.known_tickets for m in link.asked_for if isinstance(m, BatchAsked)
+        ] == [
+            (7,),
+            (0,),
+        ]
+
+    curio.run(main)
--- a/tests/test_whole_tickets.py
+++ b/tests/test_whole_tickets.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
@@ -219,3 +220,27 @@
 def test_key_of_a_removed_entity_is_not_kept(view, routes):
     view.apply(batch_of(whole(5, *routes[1:]), after=1))
     assert EntityKey("route", "route-0") not in view.configuration.state_by_key
+
+
+def test_daemon_whose_content_of_a_version_differs_gets_all_of_the_next_one():
+    """Daemons of two versions of the program may decode an entity in two ways."""
+    peer, other = SharedView(), SharedView()
+    peer.apply(batch_of(whole(1, route(0, "new"), route(1))))
+    other.apply(batch_of(whole(1, route(0, "old"), route(1))))
+    peer.apply(batch_of(whole(2, route(0, "new"), route(1, "issue")), after=1))
+    assert not other.apply(told_batch(peer, 1, other.configuration.known_tickets))
+    assert other.configuration.whole_ticket == 1
+    known = other.configuration.known_tickets or (0,)
+    assert other.apply(told_batch(peer, 1, known))
+    assert entities_of(other) == entities_of(peer)
+    assert other.configuration.known_tickets == (2,)
+
+
+def test_digest_after_many_changes_is_that_of_the_entities():
+    source = random.Random(3)
+    view = SharedView()
+    for ticket in _versions(source, 30):
+        view.apply(batch_of(ticket, after=view.revision))
+        fresh = SharedView()
+        fresh.apply(batch_of(ticket))
+        assert view.configuration.whole_digest == fresh.configuration.whole_digest
